Add the skeleton: schema, settings, platform traits and stand-ins

Cause: nothing existed yet; the modules need shared types and interfaces before they can be built side by side. Change: newtypes, messages and settings generated from JSON schemas by schema-gen, an INI check that reports every fault with its place, traits of the platform with HTTP adapters, stand-ins with faults, and the design page.

--- /dev/null
+++ b/src/bundle/mod.rs
@@ -0,0 +1,5 @@
+//! The configuration bundle that operators drive the system by.
+
+mod active;
+
+pub use active::{ActiveBundle, BundleInForce};
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sapphirecroft` program.
+
+fn main() {}
--- /dev/null
+++ b/src/membership/ownership.rs
@@ -0,0 +1,81 @@
+//! What other modules may ask about ownership.
+
+use crate::prelude::*;
+
+/// Answers who owns racks, job shards and keys in the current epoch.
+///
+/// Only an active member may start tasks, renew task leases or use request slots.
+pub trait Ownership: Send + Sync {
+    /// Returns this process's member id.
+    fn me(&self) -> MemberId;
+
+    /// Returns the epoch that this process has adopted.
+    fn epoch(&self) -> Epoch;
+
+    /// Tells whether this process may act as an owner at this moment.
+    fn is_active(&self) -> bool;
+
+    /// Tells whether members removed before the current epoch may still hold task leases.
+    ///
+    /// Returns the local time at which this process saw the current epoch.
+    fn epoch_seen_at(&self) -> Millis;
+
+    /// Returns the owner of a rack, if the region has members.
+    fn rack_owner(&self, rack: &RackId) -> Option<MemberId>;
+
+    /// Returns the owner of a job shard, if the region has members.
+    fn shard_owner(&self, shard: u32) -> Option<MemberId>;
+
+    /// Returns the members that hold an idempotency key, home first, then its backup.
+    fn key_holders(&self, key: &str) -> Vec<MemberId>;
+
+    /// Returns the peer address of a member.
+    fn peer_addr(&self, member: &MemberId) -> Option<String>;
+}
+
+/// Ownership of a process that runs alone, for tests and the smallest installations.
+#[derive(Clone, Debug)]
+pub struct SoleOwner {
+    member: MemberId,
+}
+
+impl SoleOwner {
+    /// Creates the ownership of a lone member.
+    pub fn new(member: MemberId) -> Self {
+        Self { member }
+    }
+}
+
+impl Ownership for SoleOwner {
+    fn me(&self) -> MemberId {
+        self.member.clone()
+    }
+
+    fn epoch(&self) -> Epoch {
+        Epoch(1)
+    }
+
+    fn is_active(&self) -> bool {
+        true
+    }
+
+    fn epoch_seen_at(&self) -> Millis {
+        Millis::ZERO
+    }
+
+    fn rack_owner(&self, _rack: &RackId) -> Option<MemberId> {
+        Some(self.me())
+    }
+
+    fn shard_owner(&self, _shard: u32) -> Option<MemberId> {
+        Some(self.me())
+    }
+
+    fn key_holders(&self, _key: &str) -> Vec<MemberId> {
+        vec![self.me()]
+    }
+
+    fn peer_addr(&self, _member: &MemberId) -> Option<String> {
+        None
+    }
+}
--- /dev/null
+++ b/src/model/mod.rs
@@ -0,0 +1,17 @@
+//! Identifiers, sizes and points in time used by every other module.
+
+mod address;
+mod ids;
+mod millis;
+mod newtype;
+mod resources;
+mod units;
+
+pub use address::Address;
+pub use ids::{
+    CheckpointId, ClassName, JobId, MemberId, RackId, RegionId, ServiceId, SiteId, TaskId, TeamId,
+    VmId, WriterToken, ZoneId,
+};
+pub use millis::Millis;
+pub use resources::Resources;
+pub use units::{Accelerators, Attempt, Epoch, Mebibytes, Millicores, Permille, Revision, Version};
--- /dev/null
+++ b/src/model/units.rs
@@ -0,0 +1,44 @@
+//! Sizes, rates and counters with their units.
+
+use super::newtype::number;
+
+number!(
+    /// Processor time in thousandths of a core.
+    Millicores,
+    u64
+);
+number!(
+    /// Memory in MiB.
+    Mebibytes,
+    u64
+);
+number!(
+    /// A count of accelerators.
+    Accelerators,
+    u32
+);
+number!(
+    /// A share in thousandths.
+    Permille,
+    u32
+);
+number!(
+    /// Fencing epoch of a region's member record.
+    Epoch,
+    u64
+);
+number!(
+    /// Version of a configuration bundle.
+    Version,
+    u64
+);
+number!(
+    /// Revision of a record in the key-value service; zero means absent.
+    Revision,
+    u64
+);
+number!(
+    /// Attempt number of a task, starting at one.
+    Attempt,
+    u32
+);
--- /dev/null
+++ b/src/prelude.rs
@@ -0,0 +1,8 @@
+//! Types that most modules use.
+
+pub use std::sync::Arc;
+
+pub use tokio_util::sync::CancellationToken;
+
+pub use crate::error::{CallError, ModelError, PlatformError, StoreError};
+pub use crate::model::*;
--- /dev/null
+++ b/src/schema/mod.rs
@@ -0,0 +1,12 @@
+//! Messages and settings, generated from `schema/*.json`.
+//!
+//! `cargo run -p schema-gen` writes these files anew.
+
+#[rustfmt::skip]
+pub mod bundle;
+#[rustfmt::skip]
+pub mod settings;
+#[rustfmt::skip]
+pub mod vm;
+#[rustfmt::skip]
+pub mod worker;
--- /dev/null
+++ b/src/settings/load.rs
@@ -0,0 +1,29 @@
+//! Reads and checks a settings file.
+
+use std::fs;
+use std::path::Path;
+
+use crate::ini::{Document, Fault, Faults, SchemaCheck};
+use crate::schema::settings::Settings;
+
+/// Schema of the settings file.
+const SCHEMA: &str = include_str!("../../schema/settings.json");
+
+/// Reads a settings file and reports every fault.
+pub fn load_settings(path: &Path) -> Result<Settings, Faults> {
+    let text = fs::read_to_string(path).map_err(|err| {
+        Faults(vec![Fault {
+            line: 0,
+            section: path.display().to_string(),
+            key: String::new(),
+            message: err.to_string(),
+        }])
+    })?;
+    parse_settings(&text)
+}
+
+/// Checks the text of a settings file and reports every fault.
+pub fn parse_settings(text: &str) -> Result<Settings, Faults> {
+    let doc = Document::parse(text)?;
+    SchemaCheck::new(SCHEMA, "Settings").check(&doc)
+}
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,5 @@
+//! Logs and metrics.
+
+mod logs;
+
+pub use logs::init_logs;
--- /dev/null
+++ b/src/web/mod.rs
@@ -0,0 +1,13 @@
+//! HTTP plumbing shared by all faces: a server over xitca-web and a caller over hyper-util.
+
+mod caller;
+mod codec;
+mod routes;
+mod server;
+mod service;
+
+pub use caller::Caller;
+pub use codec::{decode, encode};
+pub use routes::Routes;
+pub use server::Server;
+pub use service::{WebReq, WebRes, WebService, packed, read_body, text};
--- /dev/null
+++ b/src/web/server.rs
@@ -0,0 +1,66 @@
+//! An xitca-web server for one face of the daemon.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+
+use tokio::task::JoinHandle;
+use xitca_web::WebContext;
+use xitca_web::service::fn_service;
+
+use super::{WebRes, WebService};
+use crate::prelude::*;
+
+/// A running server; it stops gracefully when its token is cancelled.
+pub struct Server {
+    addr: SocketAddr,
+    task: JoinHandle<io::Result<()>>,
+}
+
+impl Server {
+    /// Binds `addr` and serves until `cancel` fires, then lets requests in progress finish.
+    pub fn start(
+        addr: &str,
+        service: Arc<dyn WebService>,
+        threads: usize,
+        cancel: CancellationToken,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(addr)?;
+        listener.set_nonblocking(true)?;
+        let addr = listener.local_addr()?;
+        let mut server = xitca_web::App::new()
+            .with_state(service)
+            .at("/", fn_service(handle))
+            .at("/*path", fn_service(handle))
+            .serve()
+            .disable_signal()
+            .worker_threads(threads)
+            .listen(listener)?
+            .run();
+        let stop = server.handle()?;
+        let task = tokio::spawn(server);
+        tokio::spawn(async move {
+            cancel.cancelled().await;
+            stop.stop(true);
+        });
+        Ok(Self { addr, task })
+    }
+
+    /// Returns the address that was bound.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Waits until the server has stopped.
+    pub async fn join(self) -> io::Result<()> {
+        self.task.await.map_err(io::Error::other)?
+    }
+}
+
+async fn handle(mut cx: WebContext<'_, Arc<dyn WebService>>) -> Result<WebRes, Infallible> {
+    let req = cx.take_request();
+    let (parts, ext) = req.into_parts();
+    let (_, body) = ext.replace_body(());
+    let req = http::Request::from_parts(parts, body);
+    Ok(cx.state().call(req).await)
+}
