--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins of the platform's services for development and tests.
 
+mod agent_host;
 mod endpoint;
 mod faults;
 mod kv;
@@ -8,6 +9,7 @@
 mod worker;
 mod worker_server;
 
+pub use agent_host::AgentHost;
 pub use endpoint::{Endpoint, EndpointLog};
 pub use faults::{EndpointFaults, StoreFaults, WorkerFaults};
 pub use kv::Kv;
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -62,6 +62,7 @@
     fenced: BTreeMap<TaskId, Attempt>,
     checkpoints: Checkpoints,
     events: Vec<WorkerEvent>,
+    overcommits: u64,
     /// Faults to show.
     pub faults: WorkerFaults,
 }
@@ -78,6 +79,7 @@
             fenced: BTreeMap::new(),
             checkpoints,
             events: Vec::new(),
+            overcommits: 0,
             faults: WorkerFaults::default(),
         }
     }
@@ -87,6 +89,11 @@
         &self.events
     }
 
+    /// Returns how many starts asked for more than the worker had left.
+    pub fn overcommits(&self) -> u64 {
+        self.overcommits
+    }
+
     /// Returns the sum of what running tasks have reserved.
     pub fn reserved(&self) -> Resources {
         self.tasks
@@ -206,6 +213,7 @@
         }
         let wanted = self.reserved().checked_add(&start.resources);
         if !wanted.is_some_and(|wanted| wanted.fits(&self.capacity)) {
+            self.overcommits += 1;
             return Err(AgentRefusal::NoCapacity);
         }
         let remaining = start
--- a/src/standin/worker_server.rs
+++ b/src/standin/worker_server.rs
@@ -21,10 +21,15 @@
 }
 
 impl WorkerServer {
-    /// Creates the agent of an idle worker.
-    pub fn new(vm: VmId, capacity: Resources, checkpoints: Checkpoints) -> Arc<Self> {
+    /// Creates the agent of an idle worker whose clock counts from `started`.
+    pub fn new(
+        vm: VmId,
+        capacity: Resources,
+        checkpoints: Checkpoints,
+        started: Instant,
+    ) -> Arc<Self> {
         Arc::new(Self {
-            started: Instant::now(),
+            started,
             worker: Mutex::new(Worker::new(vm, capacity, checkpoints)),
         })
     }
