--- /dev/null
+++ b/src/cli/command.rs
@@ -0,0 +1,35 @@
+//! The verbs of the program.
+
+use bpaf::{OptionParser, Parser, construct};
+
+use super::check::{Check, check};
+use super::{CliError, Output};
+
+/// What the program is asked to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Checks files.
+    Check(Check),
+}
+
+/// Options of the whole program.
+pub fn options() -> OptionParser<Command> {
+    let check = check().map(Command::Check);
+    construct!([check])
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Scheduler for colocated latency-critical and batch work")
+        .footer(
+            "Exit codes: 0 carried out, 1 refused or conflict, 2 wrong usage or bad input, \
+             3 not reachable or outcome unknown",
+        )
+}
+
+impl Command {
+    /// Carries out the command.
+    pub async fn run(self) -> Result<Output, CliError> {
+        match self {
+            Self::Check(verb) => verb.run(),
+        }
+    }
+}
--- a/src/ini/document.rs
+++ b/src/ini/document.rs
@@ -32,6 +32,16 @@
 impl Document {
     /// Parses a file; reports every syntax fault and every repeated section or key.
     pub fn parse(text: &str) -> Result<Self, Faults> {
+        let (doc, faults) = Self::parse_lossy(text);
+        if faults.is_empty() {
+            Ok(doc)
+        } else {
+            Err(Faults(faults))
+        }
+    }
+
+    /// Parses what can be parsed, so that further checks can run next to the syntax faults.
+    pub fn parse_lossy(text: &str) -> (Self, Vec<Fault>) {
         let mut doc = Self::default();
         let mut faults = Vec::new();
         let mut section = String::new();
@@ -81,11 +91,7 @@
                 }
             }
         }
-        if faults.is_empty() {
-            Ok(doc)
-        } else {
-            Err(Faults(faults))
-        }
+        (doc, faults)
     }
 
     /// Finds a key in a section.
--- a/src/ini/fault.rs
+++ b/src/ini/fault.rs
@@ -20,6 +20,9 @@
         if self.line > 0 {
             write!(f, "line {}: ", self.line)?;
         }
+        if self.section.is_empty() {
+            return f.write_str(&self.message);
+        }
         write!(f, "[{}]", self.section)?;
         if !self.key.is_empty() {
             write!(f, " {}", self.key)?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! `docs/design.md` describes the modules and the reasons behind them.
 
 pub mod bundle;
+pub mod cli;
 pub mod error;
 pub mod ini;
 pub mod membership;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! The `sapphirecroft` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sapphirecroft::cli::main()
+}
