--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! `docs/design.md` describes the modules and the reasons behind them.
 
+pub mod admission;
 pub mod bundle;
 pub mod error;
 pub mod ini;
@@ -9,6 +10,8 @@
 pub mod model;
 pub mod platform;
 pub mod prelude;
+pub mod retry;
+pub mod routing;
 pub mod schema;
 pub mod settings;
 pub mod standin;
--- /dev/null
+++ b/src/routing/load.rs
@@ -0,0 +1,37 @@
+//! Load of a service at this process and at its peers.
+
+use crate::prelude::*;
+
+/// Load of a service at this process.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ServiceLoad {
+    /// Requests that could be sent at once.
+    pub free_slots: u32,
+    /// Requests in progress.
+    pub in_progress: u32,
+    /// Requests that wait for a slot.
+    pub queued: u32,
+    /// Expected wait of a new request of the default class.
+    pub queue_delay: Millis,
+    /// Median latency of recent answers; zero if there were none.
+    pub p50: Millis,
+    /// 99th percentile of the latency of recent answers; zero if there were none.
+    pub p99: Millis,
+    /// Endpoints that are ejected at present.
+    pub ejected: u32,
+}
+
+/// Load of a service at a peer, as last reported.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerLoad {
+    /// The peer.
+    pub member: MemberId,
+    /// Availability zone of the peer.
+    pub zone: ZoneId,
+    /// Slots that were free.
+    pub free_slots: u32,
+    /// Expected wait of a new request there.
+    pub queue_delay: Millis,
+    /// Age of the report.
+    pub age: Millis,
+}
