Implement the request dispatcher

Requests are admitted by class share, urgency and team share, wait in queues bounded in time and number, and go to the better of two endpoints by expected delay. Failing endpoints are ejected, probed and readmitted; retries and hedges draw on a token bucket.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -1,5 +1,15 @@
 //! Admission of requests: classes, shares, deadlines and concurrency limits.
 
+mod class_queue;
+mod concurrency_limit;
+mod latency_window;
+mod rate_meter;
 mod refusal;
+mod service_queue;
 
+pub use class_queue::ClassQueue;
+pub use concurrency_limit::ConcurrencyLimit;
+pub use latency_window::LatencyWindow;
+pub use rate_meter::RateMeter;
 pub use refusal::Refusal;
+pub use service_queue::{ServiceQueue, Ticket};
--- a/src/routing/dispatcher.rs
+++ b/src/routing/dispatcher.rs
@@ -2,126 +2,144 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use super::service::Service;
 use super::{Arrival, EndpointShare, Outcome, PeerLoad, Pick, RequestId, ServiceLoad, Verdict};
 use crate::admission::Refusal;
 use crate::bundle::BundleInForce;
 use crate::prelude::*;
-use crate::retry::may_resend;
 
-/// Hint given with a refusal that has no better estimate.
-const RETRY_AFTER: Millis = Millis::from_secs(1);
+/// Hint given before the first bundle has arrived.
+const BUNDLE_WAIT: Millis = Millis::from_secs(1);
+
+/// Time within which a bundle change is in effect everywhere.
+const BUNDLE_DELAY: Millis = Millis::from_secs(8);
 
 /// Decides where requests are sent, and which of them wait or are refused.
+///
+/// Every request that got [`Verdict::Send`] or [`Verdict::Wait`] is held until
+/// [`finish`](Self::finish), [`cancel`](Self::cancel) or another verdict ends it.
 #[derive(Debug)]
 pub struct Dispatcher {
+    zone: ZoneId,
+    seed: u64,
     config: Option<BundleInForce>,
-    endpoints: BTreeMap<ServiceId, Vec<EndpointShare>>,
-    busy: BTreeMap<VmId, u32>,
-    sent: HashMap<RequestId, (Arrival, Vec<VmId>, Millis)>,
+    services: BTreeMap<ServiceId, Service>,
+    owners: HashMap<RequestId, ServiceId>,
 }
 
 impl Dispatcher {
     /// Creates a dispatcher without a bundle for a process in `zone`.
-    pub fn new(_zone: ZoneId, _seed: u64) -> Self {
+    pub fn new(zone: ZoneId, seed: u64) -> Self {
         Self {
+            zone,
+            seed,
             config: None,
-            endpoints: BTreeMap::new(),
-            busy: BTreeMap::new(),
-            sent: HashMap::new(),
+            services: BTreeMap::new(),
+            owners: HashMap::new(),
         }
     }
 
     /// Applies a bundle at once.
-    pub fn configure(&mut self, cfg: &BundleInForce, _now: Millis) {
+    ///
+    /// Waiting requests that it no longer allows are refused at the next tick.
+    pub fn configure(&mut self, cfg: &BundleInForce, now: Millis) {
         self.config = Some(cfg.clone());
+        for id in cfg.bundle.service.keys() {
+            self.open(id);
+        }
+        for (id, service) in &mut self.services {
+            service.configure(cfg, cfg.bundle.service.get(id), now);
+        }
     }
 
     /// Replaces the list of endpoints of a service.
-    pub fn set_endpoints(&mut self, service: &ServiceId, list: Vec<EndpointShare>, _now: Millis) {
-        self.endpoints.insert(service.clone(), list);
+    pub fn set_endpoints(
+        &mut self,
+        service: &ServiceId,
+        endpoints: Vec<EndpointShare>,
+        now: Millis,
+    ) {
+        self.open(service).set_endpoints(endpoints, now);
     }
 
     /// Replaces the list of peers that accept requests of a service.
-    pub fn set_peers(&mut self, _service: &ServiceId, _peers: Vec<PeerLoad>, _now: Millis) {}
+    pub fn set_peers(&mut self, service: &ServiceId, peers: Vec<PeerLoad>, now: Millis) {
+        self.open(service).set_peers(peers, now);
+    }
 
     /// Decides on a new request.
     pub fn arrive(&mut self, req: Arrival, now: Millis) -> Verdict {
-        let Some(config) = &self.config else {
-            return refuse(Refusal::NoBundle);
-        };
-        let Some(spec) = config.bundle.service.get(&req.service) else {
-            return refuse(Refusal::UnknownService);
+        if self.config.is_none() {
+            return refuse(Refusal::NoBundle, BUNDLE_WAIT);
+        }
+        if self.owners.contains_key(&req.id) {
+            return Verdict::Unknown;
+        }
+        let Some(service) = self.services.get_mut(&req.service) else {
+            return refuse(Refusal::UnknownService, BUNDLE_DELAY);
         };
-        let span = req.deadline.unwrap_or(spec.default_deadline_ms);
-        let deadline = now + span.min(spec.max_deadline_ms);
-        match self.take(&req.service, None, deadline) {
-            Some(pick) => {
-                let vms = vec![pick.vm.clone()];
-                self.sent.insert(req.id, (req, vms, deadline));
-                Verdict::Send(pick)
-            }
-            None => refuse(Refusal::QueueFull),
+        let (id, name) = (req.id, req.service.clone());
+        let verdict = service.arrive(req, now);
+        if !is_final(&verdict) {
+            self.owners.insert(id, name);
         }
+        verdict
     }
 
-    /// Records the end of a request and frees its slots.
+    /// Ends a request and frees its slots; returns verdicts on waiting requests.
+    ///
+    /// If the request was hedged, `outcome` is that of its oldest attempt and the other one is
+    /// counted as abandoned; report the loser by [`end_attempt`](Self::end_attempt) first.
     pub fn finish(
         &mut self,
         id: RequestId,
-        _outcome: Outcome,
-        _now: Millis,
+        outcome: Outcome,
+        now: Millis,
     ) -> Vec<(RequestId, Verdict)> {
-        if let Some((_, vms, _)) = self.sent.remove(&id) {
-            vms.iter().for_each(|vm| self.release(vm));
-        }
-        Vec::new()
+        let service = self.owners.remove(&id);
+        let Some(service) = service.and_then(|name| self.services.get_mut(&name)) else {
+            return Vec::new();
+        };
+        let out = service.finish(id, outcome, now);
+        self.settle(out)
     }
 
-    /// Records the end of the attempt at `vm` of a hedged request; its other attempt goes on.
+    /// Ends the attempt at `vm` of a hedged request; its other attempt goes on.
     pub fn end_attempt(
         &mut self,
         id: RequestId,
         vm: &VmId,
-        _outcome: Outcome,
-        _now: Millis,
+        outcome: Outcome,
+        now: Millis,
     ) -> Vec<(RequestId, Verdict)> {
-        if let Some((_, vms, _)) = self.sent.get_mut(&id)
-            && let Some(at) = vms.iter().position(|held| held == vm)
-        {
-            vms.remove(at);
-            self.release(vm);
-        }
-        Vec::new()
+        let out = self
+            .owner(id)
+            .map(|service| service.end_attempt(id, vm, outcome, now));
+        self.settle(out.unwrap_or_default())
     }
 
-    /// Records the end of an attempt and asks for another one of the same request.
+    /// Ends the attempts of a request and asks for another one.
     pub fn resend(
         &mut self,
         id: RequestId,
         outcome: Outcome,
-        _now: Millis,
+        now: Millis,
     ) -> (Verdict, Vec<(RequestId, Verdict)>) {
-        let Some((req, vms, deadline)) = self.sent.remove(&id) else {
+        let Some((verdict, out)) = self
+            .owner(id)
+            .map(|service| service.resend(id, outcome, now))
+        else {
             return (Verdict::Unknown, Vec::new());
         };
-        vms.iter().for_each(|vm| self.release(vm));
-        if !may_resend(outcome, req.idempotent) {
-            return (Verdict::Unknown, Vec::new());
+        if is_final(&verdict) {
+            self.owners.remove(&id);
         }
-        let verdict = match self.take(&req.service, vms.last(), deadline) {
-            Some(pick) => {
-                self.sent.insert(id, (req, vec![pick.vm.clone()], deadline));
-                Verdict::Send(pick)
-            }
-            None if outcome.is_not_run() => refuse(Refusal::NoEndpoint),
-            None => Verdict::Unknown,
-        };
-        (verdict, Vec::new())
+        (verdict, self.settle(out))
     }
 
     /// Chooses an endpoint for a second attempt beside the first, if the budget allows it.
-    pub fn hedge(&mut self, _id: RequestId, _now: Millis) -> Option<Pick> {
-        None
+    pub fn hedge(&mut self, id: RequestId, now: Millis) -> Option<Pick> {
+        self.owner(id)?.hedge(id, now)
     }
 
     /// Forgets a request whose caller left.
@@ -130,64 +148,56 @@
     }
 
     /// Decides on everything that is due.
-    pub fn tick(&mut self, _now: Millis) -> Vec<(RequestId, Verdict)> {
-        Vec::new()
+    pub fn tick(&mut self, now: Millis) -> Vec<(RequestId, Verdict)> {
+        let out = self
+            .services
+            .values_mut()
+            .flat_map(|service| service.tick(now))
+            .collect();
+        self.settle(out)
     }
 
     /// Returns the time at which [`Dispatcher::tick`] is due.
     pub fn next_tick(&self) -> Option<Millis> {
-        None
+        self.services.values().filter_map(Service::next_tick).min()
     }
 
     /// Returns the load of a service.
     pub fn load(&self, service: &ServiceId) -> ServiceLoad {
-        let list = self.endpoints.get(service).map_or(&[][..], Vec::as_slice);
-        ServiceLoad {
-            free_slots: list.iter().map(|share| self.free(share)).sum(),
-            ..ServiceLoad::default()
-        }
+        self.services
+            .get(service)
+            .map_or_else(ServiceLoad::default, Service::load)
     }
 
-    fn free(&self, share: &EndpointShare) -> u32 {
-        if share.leaving {
-            return 0;
-        }
-        share
-            .slots
-            .saturating_sub(self.busy.get(&share.vm).copied().unwrap_or(0))
+    fn open(&mut self, id: &ServiceId) -> &mut Service {
+        let seed = self.seed.wrapping_add(self.services.len() as u64);
+        self.services
+            .entry(id.clone())
+            .or_insert_with(|| Service::new(self.zone.clone(), seed))
     }
 
-    fn take(
-        &mut self,
-        service: &ServiceId,
-        except: Option<&VmId>,
-        deadline: Millis,
-    ) -> Option<Pick> {
-        let share = self
-            .endpoints
-            .get(service)?
-            .iter()
-            .find(|share| Some(&share.vm) != except && self.free(share) > 0)?;
-        let pick = Pick {
-            vm: share.vm.clone(),
-            address: share.address,
-            deadline,
-            version: self.config.as_ref()?.version,
-        };
-        *self.busy.entry(pick.vm.clone()).or_default() += 1;
-        Some(pick)
+    fn owner(&mut self, id: RequestId) -> Option<&mut Service> {
+        self.services.get_mut(self.owners.get(&id)?)
     }
 
-    fn release(&mut self, vm: &VmId) {
-        if let Some(count) = self.busy.get_mut(vm) {
-            *count = count.saturating_sub(1);
+    /// Drops the requests that the verdicts end.
+    fn settle(&mut self, out: Vec<(RequestId, Verdict)>) -> Vec<(RequestId, Verdict)> {
+        for (id, verdict) in &out {
+            if is_final(verdict) {
+                self.owners.remove(id);
+            }
         }
+        out
     }
 }
 
-fn refuse(reason: Refusal) -> Verdict {
+fn is_final(verdict: &Verdict) -> bool {
+    !matches!(verdict, Verdict::Send(_) | Verdict::Wait)
+}
+
+fn refuse(reason: Refusal, retry_after: Millis) -> Verdict {
     Verdict::Refuse {
         reason,
-        retry_after: RETRY_AFTER,
+        retry_after,
     }
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -2,9 +2,15 @@
 
 mod arrival;
 mod dispatcher;
+mod endpoint;
 mod endpoint_share;
+mod fleet;
+mod health;
 mod load;
 mod outcome;
+mod peers;
+mod service;
+mod tracked;
 mod verdict;
 
 pub use arrival::{Arrival, RequestId};
