Test the promises of the request path

An endpoint with two failures was avoided without being ejected, so it was never probed and never readmitted; the penalty now applies only to endpoints that may not be ejected, and fades.

--- a/src/routing/endpoint.rs
+++ b/src/routing/endpoint.rs
@@ -11,9 +11,6 @@
 /// Age at which a latency estimate counts half; the rest is taken from the service's mean.
 const ESTIMATE_HALF_LIFE: Millis = Millis::from_secs(5);
 
-/// Increase of the expected delay at a failure rate of one.
-const FAILURE_PENALTY: f64 = 4.0;
-
 /// An endpoint with its requests in progress, latency, limit and health.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -107,7 +104,7 @@
             Outcome::Silent => self.limit.stall(),
             _ => {}
         }
-        self.health.record(outcome);
+        self.health.record(outcome, now);
         if probe {
             self.health.end_probe(outcome, now);
         }
@@ -126,7 +123,7 @@
         let overdue = self.started.iter().map(|at| now.since(*at).get()).max();
         let base = own.max(overdue.unwrap_or(0) as f64);
         let usage = f64::from(self.in_progress()) / f64::from(self.limit.get().max(1));
-        base * (1.0 + usage) * (1.0 + FAILURE_PENALTY * self.health.failure_rate())
+        base * (1.0 + usage) * self.health.penalty(now)
     }
 
     /// Averages the logarithm, because single long answers would dominate a plain mean.
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -31,6 +31,12 @@
 /// Wait after which a probe may also be a request that cannot be repeated.
 const PROBE_PATIENCE: Millis = Millis::from_secs(2);
 
+/// Increase of the expected delay of a failing endpoint that may not be ejected.
+const FAILURE_PENALTY: f64 = 4.0;
+
+/// Time after which half of the increase is left.
+const PENALTY_HALF_LIFE: Millis = Millis::from_secs(5);
+
 /// Whether an endpoint may be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -49,6 +55,7 @@
     outcomes: u32,
     ejections: u32,
     changed: Millis,
+    recorded: Millis,
 }
 
 impl Default for Health {
@@ -61,19 +68,21 @@
             outcomes: 0,
             ejections: 0,
             changed: Millis::ZERO,
+            recorded: Millis::ZERO,
         }
     }
 }
 
 impl Health {
     /// Counts an outcome.
-    pub fn record(&mut self, outcome: Outcome) {
+    pub fn record(&mut self, outcome: Outcome, now: Millis) {
         let failed = match outcome {
             Outcome::Success { .. } => 0.0,
             Outcome::Abandoned => return,
             _ => 1.0,
         };
         self.rate += (failed - self.rate) * OUTCOME_WEIGHT;
+        self.recorded = now;
         self.outcomes = self.outcomes.saturating_add(1);
         self.silent = match outcome {
             Outcome::Silent => self.silent + 1,
@@ -94,10 +103,17 @@
                 || (self.outcomes >= MIN_OUTCOMES && self.rate > MAX_FAILURE_RATE))
     }
 
-    /// Returns the recent rate of failures.
-    pub fn failure_rate(&self) -> f64 {
-        let run = f64::from(self.consecutive) / f64::from(MAX_CONSECUTIVE_FAILURES);
-        self.rate.max(run.min(1.0))
+    /// Returns the factor by which failures make the endpoint less attractive.
+    ///
+    /// It applies to endpoints that are due for ejection but stay in use because too many others
+    /// are ejected, and fades so that they are tried again. Lesser failures are not counted, since
+    /// an endpoint that is merely avoided would be neither ejected nor probed.
+    pub fn penalty(&self, now: Millis) -> f64 {
+        if !self.is_failing() {
+            return 1.0;
+        }
+        let age = now.since(self.recorded).get() as f64;
+        1.0 + FAILURE_PENALTY * 0.5_f64.powf(age / PENALTY_HALF_LIFE.get() as f64)
     }
 
     /// Tells whether the endpoint is out of regular use.
--- a/src/routing/service/waiting.rs
+++ b/src/routing/service/waiting.rs
@@ -13,7 +13,6 @@
     /// Expires waiting requests and sends those for which there is a slot.
     pub fn tick(&mut self, now: Millis) -> Vec<(RequestId, Verdict)> {
         self.advance(now);
-        self.wake = false;
         while let Some(&(at, id)) = self.expiries.first()
             && at <= now
         {
@@ -79,6 +78,7 @@
 
     /// Sends waiting requests while slots are free; returns these and earlier verdicts.
     pub(super) fn pump(&mut self, now: Millis) -> Vec<(RequestId, Verdict)> {
+        self.wake = false;
         let mut out = std::mem::take(&mut self.decided);
         let mut passed_over = Vec::new();
         while passed_over.len() < MAX_PASSED_OVER
--- /dev/null
+++ b/tests/requests_floods.rs
@@ -0,0 +1,173 @@
+//! Shares of classes and teams under overload, in virtual time.
+
+mod requests_support;
+
+use std::collections::BTreeMap;
+
+use requests_support::*;
+use sapphirecroft::admission::ConcurrencyLimit;
+use sapphirecroft::model::*;
+use sapphirecroft::routing::*;
+
+/// Service time of every request; 20 slots carry 1,000 requests a second.
+const SERVICE_MS: u64 = 20;
+const CAPACITY: u64 = 1000;
+const SECONDS: u64 = 20;
+
+/// A source of requests at even intervals.
+struct Source {
+    class: &'static str,
+    team: Option<&'static str>,
+    per_sec: u64,
+}
+
+fn source(class: &'static str, per_sec: u64) -> Source {
+    Source {
+        class,
+        team: None,
+        per_sec,
+    }
+}
+
+/// Runs the sources for [`SECONDS`]; returns requests offered and answered in time, by source.
+fn run(sources: &[Source], service_ms: impl Fn(usize) -> u64) -> Vec<(u64, u64)> {
+    let mut dispatcher = dispatcher(5, 4);
+    let mut counts = vec![(0, 0); sources.len()];
+    let mut ends: BTreeMap<(Millis, RequestId), (Millis, Millis)> = BTreeMap::new();
+    let mut owner = Vec::new();
+    let mut due = vec![0; sources.len()];
+    for ms in 0..SECONDS * 1000 {
+        let now = Millis(ms);
+        let mut out = dispatcher.tick(now);
+        while let Some((&(at, id), &(started, deadline))) = ends.first_key_value()
+            && at <= now
+        {
+            ends.pop_first();
+            let source: usize = owner[id.0 as usize];
+            counts[source].1 += u64::from(at <= deadline);
+            out.extend(dispatcher.finish(id, success(at.since(started).get()), now));
+        }
+        for (at, source) in sources.iter().enumerate() {
+            due[at] += source.per_sec;
+            while due[at] >= 1000 {
+                due[at] -= 1000;
+                counts[at].0 += 1;
+                let number = owner.len() as u64;
+                owner.push(at);
+                let req = Arrival {
+                    team: source.team.map(id),
+                    ..of_class(number, source.class)
+                };
+                out.push((RequestId(number), dispatcher.arrive(req, now)));
+            }
+        }
+        for (id, verdict) in out {
+            if let Verdict::Send(pick) = verdict {
+                let at = now + Millis(service_ms(owner[id.0 as usize]));
+                ends.insert((at, id), (now, pick.deadline));
+            }
+        }
+    }
+    counts
+}
+
+/// Guards against urgent requests that suffer from a surge of patient ones.
+#[test]
+fn a_flood_of_the_least_urgent_class_leaves_the_others_their_answers() {
+    let sources = [
+        source("urgent", 300),
+        source("normal", 300),
+        source("patient", 10 * CAPACITY),
+    ];
+
+    let counts = run(&sources, |_| SERVICE_MS);
+
+    for (at, (offered, useful)) in counts.iter().take(2).enumerate() {
+        assert!(
+            useful * 100 >= offered * 99,
+            "class {at}: {useful} of {offered}"
+        );
+    }
+    let useful: u64 = counts.iter().map(|(_, useful)| useful).sum();
+    assert!(
+        useful >= CAPACITY * SECONDS * 95 / 100,
+        "{useful} useful answers"
+    );
+}
+
+/// Guards against starvation of less urgent classes below their guaranteed share.
+#[test]
+fn a_flood_of_the_most_urgent_class_leaves_the_others_their_share() {
+    let sources = [
+        source("urgent", 10 * CAPACITY),
+        source("normal", CAPACITY),
+        source("patient", CAPACITY),
+    ];
+
+    let counts = run(&sources, |_| SERVICE_MS);
+
+    let total: u64 = counts.iter().map(|(_, useful)| useful).sum();
+    assert!(
+        total >= CAPACITY * SECONDS * 95 / 100,
+        "{total} useful answers"
+    );
+    for (at, permille) in [(1, 300), (2, 100)] {
+        let useful = counts[at].1;
+        assert!(
+            useful * 1000 >= total * permille * 98 / 100,
+            "class {at}: {useful} of {total}"
+        );
+    }
+}
+
+/// Guards against shares that count requests although some classes hold their slots for longer.
+#[test]
+fn shares_are_shares_of_slot_time() {
+    let sources = [source("urgent", 10 * CAPACITY), source("patient", CAPACITY)];
+    let service_ms = |class| [SERVICE_MS, 10 * SERVICE_MS][class];
+
+    let counts = run(&sources, service_ms);
+
+    let slot_time = |class: usize| counts[class].1 * service_ms(class);
+    let share = slot_time(1) as f64 / (slot_time(0) + slot_time(1)) as f64;
+    assert!((0.09..0.2).contains(&share), "{share}");
+}
+
+/// Guards against one team that takes the part of another in the same class.
+#[test]
+fn teams_share_a_class_by_weight() {
+    let of_team = |team, per_sec| Source {
+        team: Some(team),
+        ..source("normal", per_sec)
+    };
+    let sources = [
+        of_team("crews", 2 * CAPACITY),
+        of_team("masters", 8 * CAPACITY),
+    ];
+
+    let counts = run(&sources, |_| SERVICE_MS);
+
+    let ratio = counts[0].1 as f64 / counts[1].1 as f64;
+    assert!((2.7..3.3).contains(&ratio), "{ratio}");
+}
+
+/// Guards against a limit that ignores a slow endpoint, falls below one or never recovers.
+#[test]
+fn the_concurrency_limit_follows_the_latency() {
+    let mut limit = ConcurrencyLimit::new(8);
+    let mut now = Millis::ZERO;
+    let mut feed = |limit: &mut ConcurrencyLimit, ms: u64, reviews: u64| {
+        for _ in 0..reviews * 30 {
+            now = now + Millis(20);
+            limit.record(Millis(ms), limit.get(), now);
+        }
+    };
+
+    feed(&mut limit, 20, 10);
+    let well = limit.get();
+    feed(&mut limit, 100, 20);
+    let slow = limit.get();
+    feed(&mut limit, 20, 20);
+
+    assert_eq!((well, slow, limit.get()), (8, 1, 8));
+}
--- /dev/null
+++ b/tests/requests_promises.rs
@@ -0,0 +1,410 @@
+//! Promises of the request path, one test each.
+
+mod requests_support;
+
+use requests_support::*;
+use sapphirecroft::model::*;
+use sapphirecroft::routing::*;
+use serde_json::json;
+
+const NOW: Millis = Millis::ZERO;
+const FAILED: Outcome = Outcome::Failure { latency: Millis(5) };
+
+fn refusal(verdict: &Verdict) -> Option<Refusal> {
+    match verdict {
+        Verdict::Refuse { reason, .. } => Some(*reason),
+        _ => None,
+    }
+}
+
+/// Sends one request after the other and ends each with what `outcome` says about its endpoint.
+fn run_sequence(
+    dispatcher: &mut Dispatcher,
+    numbers: std::ops::Range<u64>,
+    start: Millis,
+    outcome: impl Fn(&Pick) -> Outcome,
+) -> Vec<(Millis, VmId)> {
+    let mut sends = Vec::new();
+    for number in numbers.clone() {
+        let now = start + Millis((number - numbers.start) * 10);
+        let pick = sent(dispatcher.arrive(arrival(number), now));
+        dispatcher.finish(RequestId(number), outcome(&pick), now + Millis(5));
+        sends.push((now, pick.vm));
+    }
+    sends
+}
+
+/// Guards against a second request in a slot that is taken, also after the share shrinks.
+#[test]
+fn slots_are_never_exceeded() {
+    let mut dispatcher = dispatcher(2, 2);
+    let first: Vec<Verdict> = (0..6).map(|n| dispatcher.arrive(arrival(n), NOW)).collect();
+    dispatcher.set_endpoints(&service(), shares(2, 1), NOW);
+
+    let woken = dispatcher.finish(RequestId(0), success(5), Millis(5));
+
+    let sends = first.iter().filter(|v| matches!(v, Verdict::Send(_)));
+    assert_eq!(sends.count(), 4);
+    assert!(
+        woken.is_empty(),
+        "each endpoint still holds its one slot or more"
+    );
+    assert_eq!(dispatcher.load(&service()).in_progress, 3);
+}
+
+/// Guards against "not run" for a request that an endpoint may have run.
+#[test]
+fn a_refusal_means_not_sent() {
+    for outcome in [
+        Outcome::Silent,
+        Outcome::Broken,
+        FAILED,
+        Outcome::Refused,
+        Outcome::NotSent,
+    ] {
+        let mut dispatcher = dispatcher(1, 1);
+        sent(dispatcher.arrive(arrival(1), NOW));
+
+        let (verdict, _) = dispatcher.resend(RequestId(1), outcome, Millis(5));
+
+        let not_run = matches!(outcome, Outcome::Refused | Outcome::NotSent);
+        assert_eq!(refusal(&verdict).is_some(), not_run, "{outcome:?}");
+        assert_eq!(verdict == Verdict::Unknown, !not_run, "{outcome:?}");
+    }
+}
+
+/// Guards against "not run" after a first attempt that may have run and a second that did not.
+#[test]
+fn an_attempt_that_may_have_run_is_remembered() {
+    let mut dispatcher = dispatcher(3, 1);
+    sent(dispatcher.arrive(arrival(1), NOW));
+    let (second, _) = dispatcher.resend(RequestId(1), Outcome::Broken, Millis(5));
+    sent(second);
+    dispatcher.set_endpoints(&service(), Vec::new(), Millis(6));
+
+    let (verdict, _) = dispatcher.resend(RequestId(1), Outcome::Refused, Millis(7));
+
+    assert_eq!(verdict, Verdict::Unknown);
+}
+
+/// Guards against a second run of a request that must run at most once.
+#[test]
+fn non_idempotent_requests_run_at_most_once() {
+    for outcome in [
+        Outcome::Silent,
+        Outcome::Broken,
+        FAILED,
+        Outcome::Refused,
+        Outcome::NotSent,
+    ] {
+        let mut dispatcher = dispatcher(3, 1);
+        let req = Arrival {
+            idempotent: false,
+            ..arrival(1)
+        };
+        sent(dispatcher.arrive(req, NOW));
+
+        let hedge = dispatcher.hedge(RequestId(1), Millis(4));
+        let (verdict, _) = dispatcher.resend(RequestId(1), outcome, Millis(5));
+
+        let not_run = matches!(outcome, Outcome::Refused | Outcome::NotSent);
+        assert_eq!(hedge, None);
+        assert_eq!(matches!(verdict, Verdict::Send(_)), not_run, "{outcome:?}");
+    }
+}
+
+/// Guards against new work for an endpoint that shuts down, by arrival, resend, hedge or wake-up.
+#[test]
+fn leaving_endpoints_get_nothing_new() {
+    let mut dispatcher = dispatcher(2, 4);
+    let leaving = |vm| EndpointShare {
+        leaving: vm == 0,
+        ..share(vm, 4)
+    };
+    (0..8).for_each(|n| drop(sent(dispatcher.arrive(arrival(n), NOW))));
+    dispatcher.set_endpoints(&service(), (0..2).map(leaving).collect(), NOW);
+    assert_eq!(dispatcher.arrive(arrival(8), NOW), Verdict::Wait);
+
+    let mut sends = Vec::new();
+    for n in 0..200 {
+        let now = Millis(5 + n);
+        sends.extend(dispatcher.finish(RequestId(n), success(5), now));
+        let number = RequestId(n + 9);
+        sends.push((number, dispatcher.arrive(arrival(number.0), now)));
+    }
+
+    let picked = sends.into_iter().filter_map(|(_, verdict)| match verdict {
+        Verdict::Send(pick) => Some(pick.vm),
+        _ => None,
+    });
+    let picked: Vec<VmId> = picked.collect();
+    assert!(picked.len() > 100);
+    assert!(picked.iter().all(|vm| *vm == id("vm-1")));
+}
+
+/// Guards against ejecting so many endpoints that the rest cannot carry the load.
+#[test]
+fn at_most_the_permitted_part_is_ejected() {
+    for (permille, most) in [(500, 4), (250, 2), (0, 0)] {
+        let mut dispatcher = dispatcher(8, 4);
+        let changes = json!({"max_ejected_permille": permille});
+        dispatcher.configure(&bundle_with(2, changes), NOW);
+
+        run_sequence(&mut dispatcher, 0..400, NOW, |_| FAILED);
+
+        assert_eq!(dispatcher.load(&service()).ejected, most, "{permille}");
+    }
+}
+
+/// Guards against endpoints that stay ejected beyond the floor after the list has shrunk.
+#[test]
+fn a_shorter_list_readmits_endpoints() {
+    let mut dispatcher = dispatcher(8, 4);
+    run_sequence(&mut dispatcher, 0..400, NOW, |_| FAILED);
+
+    dispatcher.set_endpoints(&service(), shares(3, 4), Millis(5000));
+
+    assert!(dispatcher.load(&service()).ejected <= 1);
+}
+
+/// Guards against a failing endpoint in regular use, and against one that never comes back.
+#[test]
+fn a_failing_endpoint_is_ejected_probed_and_readmitted() {
+    let mut dispatcher = dispatcher(4, 4);
+    let bad: VmId = id("vm-0");
+    let failing = |pick: &Pick| if pick.vm == bad { FAILED } else { success(5) };
+    run_sequence(&mut dispatcher, 0..200, NOW, failing);
+    assert_eq!(dispatcher.load(&service()).ejected, 1);
+
+    let still_bad = run_sequence(&mut dispatcher, 200..2200, Millis(2000), failing);
+    let probes: Vec<Millis> = still_bad
+        .into_iter()
+        .filter_map(|(at, vm)| (vm == bad).then_some(at))
+        .collect();
+    let well = run_sequence(&mut dispatcher, 2200..4200, Millis(22_000), |_| success(5));
+
+    let gaps: Vec<u64> = probes.windows(2).map(|w| w[1].since(w[0]).get()).collect();
+    assert!(probes.len() <= 6, "each probe is one request: {probes:?}");
+    assert!(
+        gaps.windows(2).all(|w| w[1] > w[0]),
+        "ejections grow: {gaps:?}"
+    );
+    assert!(well.iter().filter(|(_, vm)| *vm == bad).count() > 100);
+    assert_eq!(dispatcher.load(&service()).ejected, 0);
+}
+
+/// Guards against a probe of more than one request at a time.
+#[test]
+fn a_probe_is_a_single_request() {
+    let mut dispatcher = dispatcher(2, 8);
+    let bad: VmId = id("vm-0");
+    let failing = |pick: &Pick| {
+        if pick.vm == bad {
+            Outcome::Silent
+        } else {
+            success(5)
+        }
+    };
+    run_sequence(&mut dispatcher, 0..40, NOW, failing);
+    assert_eq!(dispatcher.load(&service()).ejected, 1);
+
+    let verdicts = (100..116).map(|n| dispatcher.arrive(arrival(n), Millis(5000)));
+    let picks: Vec<VmId> = verdicts
+        .filter_map(|verdict| match verdict {
+            Verdict::Send(pick) => Some(pick.vm),
+            _ => None,
+        })
+        .collect();
+
+    assert_eq!(picks.iter().filter(|vm| **vm == bad).count(), 1);
+}
+
+/// Guards against a retry storm: retries stay within a tenth of the requests and a small burst.
+#[test]
+fn retries_stay_within_the_budget() {
+    let mut dispatcher = dispatcher(8, 8);
+    let mut retries = 0;
+    for number in 0..1000 {
+        let now = Millis(number * 10);
+        sent(dispatcher.arrive(arrival(number), now));
+        let (verdict, _) = dispatcher.resend(RequestId(number), Outcome::Broken, now);
+        if matches!(verdict, Verdict::Send(_)) {
+            retries += 1;
+            dispatcher.finish(RequestId(number), success(5), now);
+        }
+    }
+
+    assert!((100..=110).contains(&retries), "{retries} retries");
+}
+
+/// Guards against a retry at the endpoint that has just failed.
+#[test]
+fn a_resend_avoids_the_endpoint_just_used() {
+    for number in 0..50 {
+        let mut dispatcher = dispatcher(2, 8);
+        let first = sent(dispatcher.arrive(arrival(number), NOW));
+
+        let (second, _) = dispatcher.resend(RequestId(number), Outcome::NotSent, NOW);
+
+        assert_ne!(sent(second).vm, first.vm);
+    }
+}
+
+/// Guards against a request that waits although its deadline cannot be met.
+#[test]
+fn hopeless_requests_are_refused_at_once_with_a_hint() {
+    let mut dispatcher = dispatcher(1, 1);
+    run_sequence(&mut dispatcher, 0..50, NOW, |_| success(100));
+    let busy = sent(dispatcher.arrive(arrival(100), Millis(1000)));
+    let with = |number, deadline| Arrival {
+        deadline: Some(Millis(deadline)),
+        ..arrival(number)
+    };
+
+    let short = dispatcher.arrive(with(101, 150), Millis(1000));
+    let enough = dispatcher.arrive(with(102, 1500), Millis(1000));
+    let verdicts: Vec<Verdict> = (103..130)
+        .map(|number| dispatcher.arrive(arrival(number), Millis(1000)))
+        .collect();
+
+    assert_eq!(busy.deadline, Millis(3000));
+    assert_eq!(refusal(&short), Some(Refusal::DeadlineTooShort));
+    assert_eq!(enough, Verdict::Wait);
+    let waiting = verdicts.iter().filter(|v| **v == Verdict::Wait).count();
+    assert_eq!(
+        waiting, 9,
+        "ten requests of 100 ms fit into the longest wait of 1 s"
+    );
+    let Some(Verdict::Refuse {
+        reason,
+        retry_after,
+    }) = verdicts.last()
+    else {
+        panic!("expected a refusal");
+    };
+    assert_eq!(*reason, Refusal::QueueFull);
+    assert!(
+        (Millis(1000)..Millis(3000)).contains(retry_after),
+        "{retry_after}"
+    );
+}
+
+/// Guards against waits beyond the class's limit and against late sends.
+#[test]
+fn waiting_ends_at_the_limit_of_the_class() {
+    let mut dispatcher = dispatcher(1, 1);
+    sent(dispatcher.arrive(arrival(1), NOW));
+    assert_eq!(dispatcher.arrive(of_class(2, "urgent"), NOW), Verdict::Wait);
+
+    let due = dispatcher.next_tick();
+    let out = dispatcher.tick(Millis(200));
+
+    assert_eq!(due, Some(Millis(200)));
+    assert_eq!(out.len(), 1);
+    assert_eq!(refusal(&out[0].1), Some(Refusal::WaitedTooLong));
+    assert!(
+        dispatcher
+            .finish(RequestId(1), success(5), Millis(250))
+            .is_empty()
+    );
+}
+
+/// Guards against unbounded memory while nothing is known about the endpoints' speed.
+#[test]
+fn the_queue_is_bounded() {
+    let mut dispatcher = dispatcher(200, 8);
+    let deadline = Some(Millis(30_000));
+    let mut waiting = 0;
+    for number in 0..20_000 {
+        let req = Arrival {
+            deadline,
+            ..of_class(number, "patient")
+        };
+        if dispatcher.arrive(req, NOW) == Verdict::Wait {
+            waiting += 1;
+        }
+    }
+
+    assert!((1000..=8192 / 3).contains(&waiting), "{waiting} wait");
+}
+
+/// Guards against forwarding while a slot is free, more than once, or to a peer without slots.
+#[test]
+fn busy_processes_forward_once_to_a_peer_with_free_slots() {
+    let mut dispatcher = dispatcher(1, 1);
+    run_sequence(&mut dispatcher, 0..50, NOW, |_| success(100));
+    let peer = |name: &str, free_slots| PeerLoad {
+        member: id(name),
+        zone: id("buga"),
+        free_slots,
+        queue_delay: Millis::ZERO,
+        age: Millis::ZERO,
+    };
+    let peers = vec![peer("full", 0), peer("idle", 4)];
+    dispatcher.set_peers(&service(), peers, Millis(1000));
+
+    let own = dispatcher.arrive(arrival(100), Millis(1000));
+    let second = dispatcher.arrive(arrival(101), Millis(1000));
+    let came_from_peer = Arrival {
+        forwarded: true,
+        ..arrival(102)
+    };
+    let third = dispatcher.arrive(came_from_peer, Millis(1000));
+
+    sent(own);
+    assert_eq!(second, Verdict::Forward(id("idle")));
+    assert_eq!(third, Verdict::Wait);
+}
+
+/// Guards against zone crossings without need, and against queues beside free remote slots.
+#[test]
+fn local_endpoints_are_preferred_until_they_are_slow_or_full() {
+    let mut dispatcher = dispatcher(3, 2);
+    let local: VmId = id("vm-0");
+
+    let even = run_sequence(&mut dispatcher, 0..200, NOW, |_| success(20));
+    let slow = run_sequence(&mut dispatcher, 200..600, Millis(2000), |pick| {
+        success(if pick.vm == local { 60 } else { 20 })
+    });
+    let burst: Vec<Verdict> = (600..606)
+        .map(|n| dispatcher.arrive(arrival(n), Millis(6000)))
+        .collect();
+
+    let share = |sends: &[(Millis, VmId)]| {
+        sends.iter().filter(|(_, vm)| *vm == local).count() as f64 / sends.len() as f64
+    };
+    assert!(share(&even) > 0.9, "{}", share(&even));
+    assert!(share(&slow) < 0.2, "{}", share(&slow));
+    assert!(
+        burst
+            .iter()
+            .all(|verdict| matches!(verdict, Verdict::Send(_)))
+    );
+}
+
+/// Guards against a change that takes effect only for some requests or not at all.
+#[test]
+fn a_bundle_takes_effect_at_once() {
+    let mut dispatcher = Dispatcher::new(id("tulua"), 7);
+    dispatcher.set_endpoints(&service(), shares(2, 2), NOW);
+    let before = dispatcher.arrive(arrival(1), NOW);
+    dispatcher.configure(&bundle(4), NOW);
+    let with = sent(dispatcher.arrive(arrival(2), NOW));
+    let unknown_class = dispatcher.arrive(of_class(3, "other"), NOW);
+    let unknown_team = Arrival {
+        team: Some(id("other")),
+        ..arrival(4)
+    };
+    let unknown_team = dispatcher.arrive(unknown_team, NOW);
+    let mut empty = bundle(5);
+    empty.bundle.service.clear();
+    dispatcher.configure(&empty, NOW);
+
+    let after = dispatcher.arrive(arrival(5), NOW);
+
+    assert_eq!(refusal(&before), Some(Refusal::NoBundle));
+    assert_eq!(with.version, Version(4));
+    assert_eq!(refusal(&unknown_class), Some(Refusal::UnknownClass));
+    assert_eq!(refusal(&unknown_team), Some(Refusal::UnknownTeam));
+    assert_eq!(refusal(&after), Some(Refusal::UnknownService));
+}
