--- a/src/bench/requests.rs
+++ b/src/bench/requests.rs
@@ -6,8 +6,8 @@
 
 pub use report::{KillRow, LoadRow, RequestsReport};
 
-pub use simulation::Policy;
 use simulation::Simulation;
+pub use simulation::{Policy, SlotSharing};
 use workload::{Plan, Workload};
 
 /// Offered loads in percent of the capacity.
@@ -35,20 +35,28 @@
             let result = Simulation::new(&work, policy, ENTRIES[1], seed).run();
             report.rows.push(LoadRow::new(&plan, policy, None, &result));
         }
-        for entries in ENTRIES {
-            let policy = Policy::Dispatcher;
+        for (entries, sharing) in variants() {
+            let policy = Policy::Dispatcher(sharing);
             let result = Simulation::new(&work, policy, entries, seed).run();
             let row = LoadRow::new(&plan, policy, Some(entries), &result);
             report.rows.push(row);
         }
     }
-    for entries in ENTRIES {
-        let plan = Plan::new(seed, KILL_LOAD);
-        let work = Workload::new(&plan);
-        let mut simulation = Simulation::new(&work, Policy::Dispatcher, entries, seed);
+    let plan = Plan::new(seed, KILL_LOAD);
+    let work = Workload::new(&plan);
+    for (entries, sharing) in variants() {
+        let policy = Policy::Dispatcher(sharing);
+        let mut simulation = Simulation::new(&work, policy, entries, seed);
         simulation.kill_at(workload::KILL_AT);
-        let result = simulation.run();
-        report.kills.push(KillRow::new(entries, &result));
+        let row = KillRow::new(entries, sharing, &simulation.run());
+        report.kills.push(row);
     }
     report
 }
+
+fn variants() -> impl Iterator<Item = (usize, SlotSharing)> {
+    let sharings = [SlotSharing::Even, SlotSharing::Local];
+    sharings
+        .into_iter()
+        .flat_map(|sharing| ENTRIES.map(|entries| (entries, sharing)))
+}
--- a/src/bench/requests/report.rs
+++ b/src/bench/requests/report.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use super::simulation::{Answer, Policy, RunResult};
+use super::simulation::{Answer, Policy, RunResult, SlotSharing};
 use super::workload::{END, KILL_AT, Plan, WARM_UP};
 
 /// Length of the windows in which the tail is followed after a kill, in microseconds.
@@ -43,6 +43,8 @@
 pub struct KillRow {
     /// Number of entry processes before.
     pub entries: usize,
+    /// Which processes hold the slots of an endpoint.
+    pub sharing: SlotSharing,
     /// Highest 99th percentile of a second before the kill, in milliseconds.
     pub before_p99_ms: f64,
     /// 99th percentile of each second after it, in milliseconds.
@@ -97,7 +99,7 @@
 
 impl KillRow {
     /// Summarises a run with a kill.
-    pub fn new(entries: usize, run: &RunResult) -> Self {
+    pub fn new(entries: usize, sharing: SlotSharing, run: &RunResult) -> Self {
         let p99 = |from: u64| {
             let window = from..from + WINDOW;
             let answers = run.answers.iter().filter(|a| window.contains(&a.arrived));
@@ -110,6 +112,7 @@
         let recovered = worse.map_or(0, |at| at + 1);
         Self {
             entries,
+            sharing,
             before_p99_ms: before,
             recovered_after_s: (recovered < after.len()).then_some(recovered),
             after_p99_ms: after,
@@ -166,7 +169,8 @@
             Policy::Random => "random",
             Policy::RoundRobin => "round robin",
             Policy::SharedQueue => "shared queue",
-            Policy::Dispatcher => "dispatcher",
+            Policy::Dispatcher(SlotSharing::Even) => "even slots",
+            Policy::Dispatcher(SlotSharing::Local) => "local slots",
         };
         let entries = self.entries.map_or("-".to_string(), |n| n.to_string());
         write!(
@@ -200,8 +204,9 @@
         };
         write!(
             f,
-            "one of {} processes killed at 80%: p99 {:.0} before, then each second {}; {recovered}, {} lost, {} refused",
+            "one of {} processes killed at 80%, {:?} slots: p99 {:.0} before, then each second {}; {recovered}, {} lost, {} refused",
             self.entries,
+            self.sharing,
             self.before_p99_ms,
             after.join(" "),
             self.lost,
--- a/src/bench/requests/simulation.rs
+++ b/src/bench/requests/simulation.rs
@@ -10,6 +10,7 @@
 
 use super::workload::{ENDPOINTS, FAR_US, NEAR_US, SLOTS, Workload, ZONES};
 use entry::Entry;
+pub use entry::SlotSharing;
 
 /// Interval of the reports between entry processes, in microseconds.
 const HEARTBEAT: u64 = 1_000_000;
@@ -25,7 +26,7 @@
     /// One queue before all slots, without delays between zones.
     SharedQueue,
     /// One dispatcher per entry process.
-    Dispatcher,
+    Dispatcher(SlotSharing),
 }
 
 /// What happens at a point in time.
@@ -110,11 +111,11 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             result: RunResult::default(),
         };
-        entry::share_slots(&mut simulation.entries);
         for (job, held) in work.jobs.iter().enumerate() {
             simulation.at(held.at, Event::Arrive { job });
         }
-        if policy == Policy::Dispatcher {
+        if let Policy::Dispatcher(sharing) = policy {
+            entry::share_slots(&mut simulation.entries, sharing);
             simulation.at(0, Event::Heartbeat);
         }
         simulation
@@ -174,7 +175,7 @@
                 self.shared.push_back(job);
                 self.pull(now);
             }
-            Policy::Dispatcher => self.enter(job, entry, false, now),
+            Policy::Dispatcher(_) => self.enter(job, entry, false, now),
         }
     }
 
@@ -225,7 +226,7 @@
             };
             self.record(job, now + back);
         }
-        if self.policy == Policy::Dispatcher && self.entries[holder].alive {
+        if matches!(self.policy, Policy::Dispatcher(_)) && self.entries[holder].alive {
             self.finish(job, endpoint, now);
         }
     }
--- a/src/bench/requests/simulation/entry.rs
+++ b/src/bench/requests/simulation/entry.rs
@@ -41,26 +41,47 @@
     }
 }
 
-/// Assigns every slot to a process by rendezvous hashing among those that hold the fewest slots
-/// of the endpoint.
-pub fn share_slots(entries: &mut [Entry]) {
-    let mut shares = vec![Vec::new(); entries.len()];
-    for endpoint in 0..ENDPOINTS {
-        let mut held = vec![0; entries.len()];
-        for slot in 0..SLOTS {
-            let fewest = held.iter().copied().min().unwrap_or(0);
-            let member = (0..entries.len())
-                .filter(|&at| held[at] == fewest)
-                .max_by_key(|&at| weight(endpoint, slot, at));
-            if let Some(member) = member {
-                held[member] += 1;
+/// Which entry processes hold the slots of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum SlotSharing {
+    /// All of them, as evenly as possible.
+    Even,
+    /// Those in the endpoint's zone, while each holds no more than its part of all slots.
+    Local,
+}
+
+/// Assigns every slot to a process by rendezvous hashing.
+pub fn share_slots(entries: &mut [Entry], sharing: SlotSharing) {
+    let members = entries.len();
+    let most = (ENDPOINTS * SLOTS as usize).div_ceil(members) as u32;
+    let mut held = vec![[0; ENDPOINTS]; members];
+    for local_only in [true, false] {
+        for endpoint in 0..ENDPOINTS {
+            for slot in 0..SLOTS {
+                let taken: u32 = held.iter().map(|slots| slots[endpoint]).sum();
+                if taken > slot {
+                    continue;
+                }
+                let allowed = |at: usize| match sharing {
+                    SlotSharing::Even => true,
+                    SlotSharing::Local => {
+                        let near = at % ZONES == endpoint % ZONES;
+                        (near || !local_only) && held[at].iter().sum::<u32>() < most
+                    }
+                };
+                let member = (0..members)
+                    .filter(|&at| allowed(at))
+                    .min_by_key(|&at| (held[at][endpoint], weight(endpoint, slot, at)));
+                if let Some(member) = member {
+                    held[member][endpoint] += 1;
+                }
             }
         }
-        for (member, slots) in held.into_iter().enumerate() {
-            shares[member].push(share(endpoint, slots));
-        }
     }
-    for (entry, shares) in entries.iter_mut().zip(shares) {
+    for (entry, slots) in entries.iter_mut().zip(held) {
+        let shares = slots.iter().enumerate();
+        let shares = shares.map(|(at, slots)| share(at, *slots)).collect();
         let service = service();
         entry
             .dispatcher
