Add the idempotency key table and its coverage rule

Requests marked non-idempotent need a record before they are sent. The table keeps records bounded in age, count and bytes; the coverage rule refuses keys whose earlier uses cannot be excluded after a membership change.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,12 +3,14 @@
 //! `docs/design.md` describes the modules and the reasons behind them.
 
 pub mod bundle;
+pub mod dedup;
 pub mod error;
 pub mod ini;
 pub mod membership;
 pub mod model;
 pub mod platform;
 pub mod prelude;
+pub mod proxy;
 pub mod schema;
 pub mod settings;
 pub mod standin;
