Add the I/O of the request path

Callers' requests go through a bounded connection pool per endpoint; answers are streamed with backpressure and checked for their length, keyed requests are recorded at their home and its backup first. Not yet covered by tests.

--- a/src/dedup/table.rs
+++ b/src/dedup/table.rs
@@ -223,7 +223,10 @@
                 return;
             };
             if let Some(entry) = self.entries.get_mut(&key) {
-                self.bytes -= entry.known.answer().map_or(0, |answer| answer_bytes(answer));
+                self.bytes -= entry
+                    .known
+                    .answer()
+                    .map_or(0, |answer| answer_bytes(answer));
                 entry.known = Known::Ended(Completion::Unknown);
             }
         }
@@ -232,7 +235,10 @@
 
 fn entry_bytes(key: &str, entry: &Entry) -> usize {
     // The key is stored in the map and in the order of expiry.
-    let answer = entry.known.answer().map_or(0, |answer| answer_bytes(answer));
+    let answer = entry
+        .known
+        .answer()
+        .map_or(0, |answer| answer_bytes(answer));
     2 * key.len() + entry.request.len() + answer
 }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -110,3 +110,20 @@
         }
     }
 }
+
+/// A body that ended before its declared end.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("body was cut off: {reason}")]
+pub struct CutOff {
+    /// What went wrong.
+    pub reason: String,
+}
+
+impl CutOff {
+    /// Creates the error from its reason.
+    pub fn new(reason: impl Into<String>) -> Self {
+        Self {
+            reason: reason.into(),
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/config.rs
@@ -0,0 +1,35 @@
+//! What a proxy needs to know from its daemon.
+
+use tokio::time::Instant;
+
+use super::Clock;
+use crate::dedup::KeyLimits;
+use crate::prelude::*;
+
+/// Connections to one peer, for forwarded requests.
+const PEER_CONNECTIONS: u32 = 64;
+
+/// Identity and limits of a proxy.
+#[derive(Clone, Debug)]
+pub struct ProxyConfig {
+    /// This process.
+    pub member: MemberId,
+    /// Clock shared with all other users of the dispatcher.
+    pub clock: Clock,
+    /// Bounds of the table of idempotency keys.
+    pub keys: KeyLimits,
+    /// Connections to one peer.
+    pub peer_connections: u32,
+}
+
+impl ProxyConfig {
+    /// Creates a configuration whose clock starts now.
+    pub fn new(member: MemberId) -> Self {
+        Self {
+            member,
+            clock: Clock::new(Instant::now()),
+            keys: KeyLimits::default(),
+            peer_connections: PEER_CONNECTIONS,
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/drive.rs
@@ -0,0 +1,151 @@
+//! The way of one request from its arrival to its answer, on the main runtime.
+
+use http::StatusCode;
+use tokio::sync::oneshot;
+
+use super::attempt::{Attempt, Won, WonBody};
+use super::call::Call;
+use super::head::{FORWARDED, Face, KEY_RECORDED};
+use super::metrics::End;
+use super::relay::{Outlet, pass_on, relay};
+use super::reply::{OUTCOME, Reply};
+use super::settle::{Settled, lost, settle};
+use super::shared::Shared;
+use crate::dedup::Completion;
+use crate::prelude::*;
+
+/// What a peer made of a forwarded request.
+pub(super) enum Forwarded {
+    /// The peer's answer.
+    Answered(Box<Won>),
+    /// The peer did not run the request, or it was never sent.
+    NotRun(Option<Box<Won>>),
+    /// The answer was lost.
+    Lost,
+}
+
+/// Answers a request and counts its end.
+pub(super) async fn drive(shared: Arc<Shared>, call: Arc<Call>, tx: oneshot::Sender<Reply>) {
+    let mut outlet = Outlet {
+        tx: Some(tx),
+        capture: None,
+    };
+    let end = if call.head.key.is_some() && !call.head.key_recorded {
+        super::keyed::answer(&shared, &call, &mut outlet).await
+    } else {
+        let forwarded = call.head.forwarded;
+        answer(&shared, &call, forwarded, &mut outlet).await.0
+    };
+    let latency = shared.clock.now().since(call.arrived);
+    let (service, class) = (shared.service_label(&call), shared.class_label(&call));
+    shared.metrics.count(&service, &class, end, latency);
+}
+
+/// Answers a request from an endpoint or a peer.
+pub(super) async fn answer(
+    shared: &Arc<Shared>,
+    call: &Arc<Call>,
+    mut forwarded: bool,
+    outlet: &mut Outlet,
+) -> (End, Completion) {
+    let mut may_have_run = false;
+    loop {
+        let member = match settle(shared, call, forwarded, may_have_run).await {
+            Settled::Won(victory) => return relay(shared, call, *victory, outlet).await,
+            Settled::Reply(reply) => return fail(reply, outlet),
+            Settled::Forward(member) => member,
+        };
+        let key_recorded = call.head.key.is_some();
+        match forward(shared, call, &member, key_recorded).await {
+            Forwarded::Answered(won) => {
+                let (end, completion) = pass_on(shared, call, *won, None, outlet).await;
+                return (forwarded_end(end), completion);
+            }
+            Forwarded::NotRun(_) if call.is_sendable() => {}
+            Forwarded::NotRun(Some(won)) => {
+                pass_on(shared, call, *won, None, outlet).await;
+                return (End::NotRun, Completion::NotRun);
+            }
+            Forwarded::NotRun(None) => return fail(Reply::unavailable("peer-failed"), outlet),
+            Forwarded::Lost if call.is_repeatable() && shared.clock.now() < call.deadline => {
+                may_have_run = true;
+            }
+            Forwarded::Lost => return fail(lost(shared, call), outlet),
+        }
+        forwarded = true;
+        shared.metrics.resends.inc();
+    }
+}
+
+/// Sends a request to a peer.
+pub(super) async fn forward(
+    shared: &Arc<Shared>,
+    call: &Arc<Call>,
+    member: &MemberId,
+    key_recorded: bool,
+) -> Forwarded {
+    let addr = shared.ownership.peer_addr(member);
+    let Some(addr) = addr.and_then(|addr| addr.parse().ok()) else {
+        return Forwarded::NotRun(None);
+    };
+    shared.metrics.forwards.inc();
+    let dead = CancellationToken::new();
+    let attempt = Attempt {
+        pool: shared.pools.peer(addr),
+        clock: shared.clock,
+        careful: !call.head.idempotent,
+        deadline: call.deadline,
+        dead: dead.clone(),
+        silent_after: None,
+    };
+    let prefix = format!("{}{}", Face::Peers.prefix(), call.head.service);
+    let build = || {
+        let marks = [(FORWARDED, true), (KEY_RECORDED, key_recorded)];
+        let left = call.deadline.since(shared.clock.now());
+        call.request(&prefix, &marks, left)
+    };
+    let run = attempt.run(build, || {});
+    tokio::pin!(run);
+    let result = tokio::select! {
+        result = &mut run => result,
+        () = shared.clock.sleep_until(call.deadline) => {
+            dead.cancel();
+            run.await
+        }
+    };
+    match result {
+        Ok(won) if says_not_run(&won) => Forwarded::NotRun(Some(Box::new(won))),
+        Ok(won) => Forwarded::Answered(Box::new(won)),
+        Err(outcome) if outcome.is_not_run() => Forwarded::NotRun(None),
+        Err(_) => Forwarded::Lost,
+    }
+}
+
+/// Sends a failure to the caller.
+pub(super) fn fail(reply: Reply, outlet: &mut Outlet) -> (End, Completion) {
+    let end = reply.end;
+    outlet.reply(reply);
+    let completion = match end {
+        End::NotRun => Completion::NotRun,
+        _ => Completion::Unknown,
+    };
+    (end, completion)
+}
+
+/// Returns the reply to a request of which nothing is known any more.
+pub(super) fn internal_error() -> Reply {
+    Reply::unknown(StatusCode::BAD_GATEWAY, "internal-error")
+}
+
+const fn forwarded_end(end: End) -> End {
+    match end {
+        End::Answered => End::Forwarded,
+        other => other,
+    }
+}
+
+fn says_not_run(won: &Won) -> bool {
+    let outcome = won.head.headers.get(OUTCOME);
+    matches!(won.body, WonBody::Whole(_))
+        && outcome.is_some_and(|value| value == End::NotRun.as_str())
+}
--- /dev/null
+++ b/src/proxy/peer_face.rs
@@ -0,0 +1,64 @@
+//! The proxy's part of the peer interface.
+
+use async_trait::async_trait;
+use http::StatusCode;
+
+use super::head::Face;
+use super::keyed::{MERGE_PATH, RECORD_PATH};
+use super::serve::serve;
+use super::shared::Shared;
+use crate::prelude::*;
+use crate::schema::dedup::{MergeKeys, RecordKey};
+use crate::web::{WebReq, WebRes, WebService, decode, packed, read_body, text};
+
+/// Largest message about keys; a hand-over has at most 512 KB of answers, encoded as numbers.
+const MAX_MESSAGE_BYTES: usize = 4 << 20;
+
+/// Serves `/peer/forward/` and `/peer/keys/`.
+pub(super) struct PeerFace {
+    pub(super) shared: Arc<Shared>,
+}
+
+#[async_trait(?Send)]
+impl WebService for PeerFace {
+    async fn call(&self, req: WebReq) -> WebRes {
+        let path = req.uri().path();
+        if path.starts_with(Face::Peers.prefix()) {
+            return serve(&self.shared, req, Face::Peers).await;
+        }
+        let path = path.to_string();
+        let buf = match read_body(req, MAX_MESSAGE_BYTES).await {
+            Ok(buf) => buf,
+            Err(err) => return text(StatusCode::PAYLOAD_TOO_LARGE, err),
+        };
+        match path.as_str() {
+            RECORD_PATH => self.record(&buf),
+            MERGE_PATH => self.merge(&buf),
+            _ => text(StatusCode::NOT_FOUND, "no such path\n"),
+        }
+    }
+}
+
+impl PeerFace {
+    fn record(&self, buf: &[u8]) -> WebRes {
+        let shared = &self.shared;
+        match decode::<RecordKey>(buf) {
+            Ok(message) => {
+                let epoch = shared.ownership.epoch();
+                packed(&shared.keys.back_up(&message, epoch, shared.clock.now()))
+            }
+            Err(err) => text(StatusCode::BAD_REQUEST, err),
+        }
+    }
+
+    fn merge(&self, buf: &[u8]) -> WebRes {
+        let shared = &self.shared;
+        match decode::<MergeKeys>(buf) {
+            Ok(message) => match shared.keys.merge(&message, shared.clock.now()) {
+                Some(reply) => packed(&reply),
+                None => text(StatusCode::CONFLICT, "epoch is not adopted yet\n"),
+            },
+            Err(err) => text(StatusCode::BAD_REQUEST, err),
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/relay.rs
@@ -0,0 +1,257 @@
+//! Passes answers on to the caller, piece by piece.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header;
+use http_body::Body;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::{mpsc, oneshot};
+
+use super::attempt::{Won, WonBody};
+use super::call::Call;
+use super::head::{header_value, strip_answer};
+use super::link::Link;
+use super::metrics::End;
+use super::out_body::Piece;
+use super::reply::{Reply, ReplyBody};
+use super::settle::Victory;
+use super::shared::Shared;
+use crate::dedup::Completion;
+use crate::error::CutOff;
+use crate::prelude::*;
+use crate::routing::Outcome;
+use crate::schema::dedup::{RecordedAnswer, RecordedHeader};
+
+/// Header of the bundle version under which a request was decided.
+pub(super) const BUNDLE_VERSION: &str = "sapphirecroft-bundle-version";
+
+/// Pieces that wait for a slow caller.
+const PIECES: usize = 4;
+
+/// Time without a piece from the endpoint after which a late answer is given up.
+const ENDPOINT_STALL: Millis = Millis::from_secs(2);
+
+/// Time without progress of the caller after which its answer is given up.
+const CALLER_STALL: Duration = Duration::from_secs(10);
+
+/// Where the answer of a request goes.
+pub(super) struct Outlet {
+    pub(super) tx: Option<oneshot::Sender<Reply>>,
+    /// Keeps a copy of at most this size for repeats of the key.
+    pub(super) capture: Option<usize>,
+}
+
+impl Outlet {
+    /// Hands the answer's head over; tells whether the caller is still there.
+    pub(super) fn reply(&mut self, reply: Reply) -> bool {
+        self.tx.take().is_some_and(|tx| tx.send(reply).is_ok())
+    }
+}
+
+/// Copy of an answer for repeats of its key; `None` once it is too large.
+struct Capture {
+    limit: usize,
+    content: Option<Vec<u8>>,
+}
+
+impl Capture {
+    fn new(limit: Option<usize>) -> Self {
+        Self {
+            limit: limit.unwrap_or(0),
+            content: limit.map(|_| Vec::new()),
+        }
+    }
+
+    fn add(&mut self, data: &[u8]) {
+        self.content = self.content.take().filter(|content| {
+            let size = content.len() + data.len();
+            size <= self.limit
+        });
+        if let Some(content) = &mut self.content {
+            content.extend_from_slice(data);
+        }
+    }
+}
+
+/// Passes an endpoint's answer on and reports its end to the dispatcher.
+pub(super) async fn relay(
+    shared: &Shared,
+    call: &Call,
+    victory: Victory,
+    outlet: &mut Outlet,
+) -> (End, Completion) {
+    let Victory {
+        won,
+        version,
+        ticket,
+        others,
+    } = victory;
+    let (sent_at, status) = (won.sent_at, won.head.status);
+    let (end, completion) = pass_on(shared, call, *won, Some(version), outlet).await;
+    // The slots of abandoned attempts are held until their connections are closed.
+    let _ = others.await;
+    let latency = shared.clock.now().since(sent_at);
+    ticket.finish(match end {
+        End::CutOff => Outcome::Broken,
+        End::Abandoned => Outcome::Abandoned,
+        _ if status.is_server_error() => Outcome::Failure { latency },
+        _ => Outcome::Success { latency },
+    });
+    (end, completion)
+}
+
+/// Passes an answer on; `version` is absent if a peer has made the decision and stated it.
+pub(super) async fn pass_on(
+    shared: &Shared,
+    call: &Call,
+    won: Won,
+    version: Option<Version>,
+    outlet: &mut Outlet,
+) -> (End, Completion) {
+    let mut headers = strip_answer(&won.head.headers, version.is_none());
+    if let Some(version) = version {
+        headers.insert(BUNDLE_VERSION, header_value(version));
+    }
+    let mut capture = Capture::new(outlet.capture);
+    let mut reply = Reply {
+        status: won.head.status,
+        headers,
+        body: ReplyBody::None,
+        end: End::Answered,
+    };
+    let recorded = |content: Option<Vec<u8>>, reply: (u16, Vec<RecordedHeader>)| {
+        content.map_or(Completion::Unknown, |body| {
+            Completion::Answered(Arc::new(RecordedAnswer {
+                status: reply.0,
+                headers: reply.1,
+                body,
+            }))
+        })
+    };
+    let head = (reply.status.as_u16(), recorded_headers(&reply));
+    match won.body {
+        WonBody::Whole(content) => {
+            capture.add(&content);
+            reply.body = if has_no_body(call, &reply) {
+                if let Some(length) = won.head.headers.get(header::CONTENT_LENGTH) {
+                    reply.headers.insert(header::CONTENT_LENGTH, length.clone());
+                }
+                ReplyBody::None
+            } else {
+                ReplyBody::Whole(content)
+            };
+            let end = if outlet.reply(reply) {
+                End::Answered
+            } else {
+                End::Abandoned
+            };
+            // The answer is whole whether or not the caller waited for it.
+            (end, recorded(capture.content, head))
+        }
+        WonBody::Stream(body, link) => {
+            let (tx, rx) = mpsc::channel(PIECES);
+            let length = body.size_hint().exact();
+            reply.body = ReplyBody::Stream { rx, length };
+            let mut copy = Copy {
+                shared,
+                deadline: call.deadline,
+                caller: outlet.reply(reply).then_some(tx),
+                capture,
+            };
+            let end = copy.run(body, link, &won.pool).await;
+            let content = copy.capture.content.filter(|_| end != End::CutOff);
+            (end, recorded(content, head))
+        }
+    }
+}
+
+struct Copy<'a> {
+    shared: &'a Shared,
+    deadline: Millis,
+    caller: Option<mpsc::Sender<Piece>>,
+    capture: Capture,
+}
+
+impl Copy<'_> {
+    /// Copies until the answer is whole, cut off or of no use to anybody.
+    async fn run(&mut self, mut body: Incoming, mut link: Link, pool: &super::Pool) -> End {
+        let left = loop {
+            match self.next(&mut body).await {
+                Ok(Some(data)) => {
+                    self.capture.add(&data);
+                    self.send(Ok(data)).await;
+                    if self.caller.is_none() && self.capture.content.is_none() {
+                        link.close().await;
+                        return End::Abandoned;
+                    }
+                }
+                Ok(None) => break self.caller.is_none(),
+                Err(err) => {
+                    tracing::debug!(addr = %pool.addr(), %err, "answer was cut off");
+                    link.close().await;
+                    self.send(Err(err)).await;
+                    return End::CutOff;
+                }
+            }
+        };
+        if link.is_ready().await {
+            pool.put_back(link);
+        }
+        // An empty piece marks the end, so that a lost sender never looks like the end.
+        self.send(Ok(Bytes::new())).await;
+        if left { End::Abandoned } else { End::Answered }
+    }
+
+    async fn next(&self, body: &mut Incoming) -> Result<Option<Bytes>, CutOff> {
+        let clock = self.shared.clock;
+        let limit = self.deadline.max(clock.now() + ENDPOINT_STALL);
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = clock.sleep_until(limit) => {
+                    return Err(CutOff::new("endpoint made no progress"));
+                }
+            };
+            match frame {
+                None => return Ok(None),
+                Some(Err(err)) => return Err(CutOff::new(err.to_string())),
+                Some(Ok(frame)) => {
+                    // Trailers are dropped; an empty piece would look like the end.
+                    if let Ok(data) = frame.into_data()
+                        && !data.is_empty()
+                    {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn send(&mut self, piece: Piece) {
+        let Some(tx) = &self.caller else {
+            return;
+        };
+        let sent = tokio::time::timeout(CALLER_STALL, tx.send(piece)).await;
+        if !matches!(sent, Ok(Ok(()))) {
+            self.caller = None;
+        }
+    }
+}
+
+fn has_no_body(call: &Call, reply: &Reply) -> bool {
+    call.head.method == http::Method::HEAD || matches!(reply.status.as_u16(), 204 | 304)
+}
+
+fn recorded_headers(reply: &Reply) -> Vec<RecordedHeader> {
+    let headers = reply.headers.iter();
+    headers
+        .filter_map(|(name, value)| {
+            Some(RecordedHeader {
+                name: name.to_string(),
+                value: value.to_str().ok()?.to_string(),
+            })
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/proxy/settle.rs
@@ -0,0 +1,275 @@
+//! Attempts at a request until it is answered, refused or given up.
+
+use std::future::Future;
+use std::pin::Pin;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use http::StatusCode;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use super::attempt::{Attempt, Won};
+use super::board::Ticket;
+use super::call::Call;
+use super::reply::{RETRY_AFTER, Reply};
+use super::shared::Shared;
+use crate::admission::Refusal;
+use crate::prelude::*;
+use crate::retry::may_resend;
+use crate::routing::{Outcome, Pick, Verdict};
+
+/// Shortest time without progress that makes a connection suspect.
+const MIN_SILENCE: Millis = Millis(250);
+
+/// Multiple of the service's p99 latency that makes a connection suspect.
+const SILENCE_FACTOR: u64 = 4;
+
+/// Shortest time before a second attempt is started beside a first one.
+const MIN_HEDGE_DELAY: Millis = Millis(5);
+
+/// A silent connection without a hedged replacement is given up after this share of the time
+/// left. Giving it up at once would fail every request of a service that has become slow.
+const PATIENCE_DIVISOR: u64 = 2;
+
+/// How the attempts at a request ended.
+pub(super) enum Settled {
+    /// An endpoint answered; the slot is held until the ticket is finished.
+    Won(Box<Victory>),
+    /// A peer shall answer.
+    Forward(MemberId),
+    /// There is no answer.
+    Reply(Reply),
+}
+
+/// An answer and what is left to do for its request.
+pub(super) struct Victory {
+    pub(super) won: Box<Won>,
+    pub(super) version: Version,
+    pub(super) ticket: Ticket,
+    /// Ends once all other attempts have ended; their slots are held until then.
+    pub(super) others: JoinHandle<()>,
+}
+
+enum Step {
+    Won(Box<Won>, Version, JoinHandle<()>),
+    Ended(Outcome),
+}
+
+type AttemptEnd = (Pick, Result<Won, Outcome>);
+
+/// One round of attempts: a first one and perhaps a hedged one beside it.
+struct Round<'a> {
+    shared: &'a Arc<Shared>,
+    call: &'a Arc<Call>,
+    ticket: &'a Ticket,
+    attempts: FuturesUnordered<Pin<Box<dyn Future<Output = AttemptEnd> + Send>>>,
+    running: Vec<(VmId, CancellationToken)>,
+    suspects: (mpsc::UnboundedSender<VmId>, mpsc::UnboundedReceiver<VmId>),
+    silent_after: Millis,
+    hedge_after: Option<Millis>,
+}
+
+/// Asks the dispatcher where to send the request and follows its decisions.
+pub(super) async fn settle(
+    shared: &Arc<Shared>,
+    call: &Arc<Call>,
+    forwarded: bool,
+    mut may_have_run: bool,
+) -> Settled {
+    let arrival = call.arrival(forwarded, shared.clock.now());
+    let decided = tokio::select! {
+        decided = shared.board.arrive(arrival) => Some(decided),
+        () = shared.clock.sleep_until(call.deadline) => None,
+    };
+    let Some((ticket, mut verdict)) = decided else {
+        return Settled::Reply(refused(Refusal::WaitedTooLong, RETRY_AFTER, may_have_run));
+    };
+    loop {
+        let pick = match verdict {
+            Verdict::Send(pick) => pick,
+            Verdict::Forward(member) => {
+                ticket.forget();
+                return Settled::Forward(member);
+            }
+            Verdict::Refuse {
+                reason,
+                retry_after,
+            } => {
+                ticket.forget();
+                return Settled::Reply(refused(reason, retry_after, may_have_run));
+            }
+            Verdict::Wait | Verdict::Unknown => {
+                ticket.forget();
+                return Settled::Reply(lost(shared, call));
+            }
+        };
+        let outcome = match Round::new(shared, call, &ticket).run(pick).await {
+            Step::Won(won, version, others) => {
+                return Settled::Won(Box::new(Victory {
+                    won,
+                    version,
+                    ticket,
+                    others,
+                }));
+            }
+            Step::Ended(outcome) => outcome,
+        };
+        may_have_run |= !outcome.is_not_run();
+        let in_time = shared.clock.now() < call.deadline;
+        if !in_time || !may_resend(outcome, call.head.idempotent) || !call.is_sendable() {
+            ticket.finish(outcome);
+            return Settled::Reply(if may_have_run {
+                lost(shared, call)
+            } else {
+                Reply::unavailable("endpoint-refused")
+            });
+        }
+        verdict = ticket.resend(outcome).await;
+        if matches!(verdict, Verdict::Send(_)) {
+            shared.metrics.resends.inc();
+        }
+    }
+}
+
+fn refused(reason: Refusal, retry_after: Millis, may_have_run: bool) -> Reply {
+    if may_have_run {
+        Reply::unknown(StatusCode::BAD_GATEWAY, "answer-lost")
+    } else {
+        Reply::refused(reason, retry_after)
+    }
+}
+
+pub(super) fn lost(shared: &Shared, call: &Call) -> Reply {
+    if shared.clock.now() >= call.deadline {
+        Reply::unknown(StatusCode::GATEWAY_TIMEOUT, "deadline-passed")
+    } else {
+        Reply::unknown(StatusCode::BAD_GATEWAY, "answer-lost")
+    }
+}
+
+impl<'a> Round<'a> {
+    fn new(shared: &'a Arc<Shared>, call: &'a Arc<Call>, ticket: &'a Ticket) -> Self {
+        let p99 = shared.board.read(|dispatcher| {
+            let load = dispatcher.load(&call.head.service);
+            load.p99
+        });
+        Self {
+            shared,
+            call,
+            ticket,
+            attempts: FuturesUnordered::new(),
+            running: Vec::new(),
+            suspects: mpsc::unbounded_channel(),
+            silent_after: Millis(p99.get() * SILENCE_FACTOR).max(MIN_SILENCE),
+            hedge_after: (p99 > Millis::ZERO).then(|| p99.max(MIN_HEDGE_DELAY)),
+        }
+    }
+
+    async fn run(mut self, pick: Pick) -> Step {
+        let clock = self.shared.clock;
+        let deadline = self.call.deadline;
+        self.start(pick);
+        let mut give_up = deadline;
+        let mut hedge_at = self.hedge_after.map(|delay| clock.now() + delay);
+        loop {
+            let hedge_due = clock.sleep_until(hedge_at.unwrap_or(deadline));
+            tokio::select! {
+                () = hedge_due, if hedge_at.is_some() => {
+                    hedge_at = None;
+                    self.hedge();
+                }
+                Some((pick, result)) = self.attempts.next() => {
+                    self.running.retain(|(vm, _)| *vm != pick.vm);
+                    match result {
+                        Ok(won) => {
+                            return Step::Won(Box::new(won), pick.version, self.end_others());
+                        }
+                        Err(outcome) if self.attempts.is_empty() => return Step::Ended(outcome),
+                        Err(outcome) => self.ticket.ender().end_attempt(&pick.vm, outcome),
+                    }
+                }
+                Some(_) = self.suspects.1.recv() => {
+                    if !self.hedge() {
+                        let left = deadline.since(clock.now());
+                        give_up = give_up.min(clock.now() + Millis(left.get() / PATIENCE_DIVISOR));
+                    }
+                }
+                () = clock.sleep_until(give_up) => {
+                    return Step::Ended(self.end_all().await);
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, pick: Pick) {
+        let (shared, call) = (self.shared.clone(), self.call.clone());
+        let dead = CancellationToken::new();
+        self.running.push((pick.vm.clone(), dead.clone()));
+        let attempt = Attempt {
+            pool: shared
+                .pools
+                .endpoint(pick.address.0, shared.one_slot(&call.head.service)),
+            clock: shared.clock,
+            careful: !call.head.idempotent,
+            deadline: call.deadline,
+            dead,
+            silent_after: Some(self.silent_after).filter(|_| call.is_repeatable()),
+        };
+        let tx = self.suspects.0.clone();
+        self.attempts.push(Box::pin(async move {
+            let vm = pick.vm.clone();
+            let deadline = pick.deadline.min(call.deadline);
+            let build = || {
+                let left = deadline.since(shared.clock.now());
+                call.request("", &[], left)
+            };
+            let result = attempt.run(build, move || drop(tx.send(vm))).await;
+            (pick, result)
+        }));
+    }
+
+    /// Starts a second attempt if the dispatcher grants one.
+    fn hedge(&mut self) -> bool {
+        if self.running.len() > 1 || !self.call.is_repeatable() {
+            return false;
+        }
+        let Some(pick) = self.ticket.hedge() else {
+            return false;
+        };
+        self.shared.metrics.hedges.inc();
+        self.start(pick);
+        true
+    }
+
+    /// Ends the attempts that lost and frees their slots once their connections are closed.
+    fn end_others(self) -> JoinHandle<()> {
+        for (_, dead) in &self.running {
+            dead.cancel();
+        }
+        let ender = self.ticket.ender();
+        let mut attempts = self.attempts;
+        tokio::spawn(async move {
+            while let Some((pick, _)) = attempts.next().await {
+                ender.end_attempt(&pick.vm, Outcome::Silent);
+            }
+        })
+    }
+
+    /// Ends all attempts; returns the outcome that says least about whether the request ran.
+    async fn end_all(mut self) -> Outcome {
+        for (_, dead) in &self.running {
+            dead.cancel();
+        }
+        let mut outcomes = Vec::new();
+        while let Some((pick, result)) = self.attempts.next().await {
+            let outcome = result.err().unwrap_or(Outcome::Abandoned);
+            if !self.attempts.is_empty() {
+                self.ticket.ender().end_attempt(&pick.vm, outcome);
+            }
+            outcomes.push(outcome);
+        }
+        let ran = outcomes.iter().find(|outcome| !outcome.is_not_run());
+        ran.or(outcomes.last()).copied().unwrap_or(Outcome::Silent)
+    }
+}
