Route all paths in the web server

xitca-router names a catch-all {*}; the pattern /*path matched only itself, so every request other than / got status 404. Found by tests/proxy_answers.rs.

--- a/src/web/server.rs
+++ b/src/web/server.rs
@@ -30,8 +30,7 @@
         let addr = listener.local_addr()?;
         let mut server = xitca_web::App::new()
             .with_state(service)
-            .at("/", fn_service(handle))
-            .at("/*path", fn_service(handle))
+            .at("/{*}", fn_service(handle))
             .serve()
             .disable_signal()
             .worker_threads(threads)
