--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -3,14 +3,14 @@
 use tokio::time::Instant;
 
 use super::Clock;
-use crate::dedup::KeyLimits;
+use crate::dedup::{KeyLimits, KeyView};
 use crate::prelude::*;
 
 /// Connections to one peer, for forwarded requests.
 const PEER_CONNECTIONS: u32 = 64;
 
 /// Identity and limits of a proxy.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct ProxyConfig {
     /// This process.
     pub member: MemberId,
@@ -18,6 +18,8 @@
     pub clock: Clock,
     /// Bounds of the table of idempotency keys.
     pub keys: KeyLimits,
+    /// Members and key holders of the epoch in which the process starts; alone if absent.
+    pub first_view: Option<Arc<dyn KeyView>>,
     /// Connections to one peer.
     pub peer_connections: u32,
 }
@@ -29,6 +31,7 @@
             member,
             clock: Clock::new(Instant::now()),
             keys: KeyLimits::default(),
+            first_view: None,
             peer_connections: PEER_CONNECTIONS,
         }
     }
--- a/src/proxy/proxy.rs
+++ b/src/proxy/proxy.rs
@@ -43,8 +43,12 @@
         runtime: Handle,
     ) -> Self {
         let clock = cfg.clock;
-        let view = OwnershipView::new(ownership.clone(), vec![cfg.member.clone()]);
-        let keys = Keys::new(cfg.member.clone(), cfg.keys, Arc::new(view), clock.now());
+        let alone = || -> Arc<dyn KeyView> {
+            let members = vec![cfg.member.clone()];
+            Arc::new(OwnershipView::new(ownership.clone(), members))
+        };
+        let view = cfg.first_view.unwrap_or_else(alone);
+        let keys = Keys::new(cfg.member.clone(), cfg.keys, view, clock.now());
         let connections = metrics.connections.clone();
         let shared = Arc::new(Shared {
             member: cfg.member,
--- a/src/proxy/settle.rs
+++ b/src/proxy/settle.rs
@@ -58,13 +58,20 @@
 
 type AttemptEnd = (Pick, Result<Won, Outcome>);
 
+/// An attempt in progress.
+struct Running {
+    vm: VmId,
+    dead: CancellationToken,
+    suspect: bool,
+}
+
 /// One round of attempts: a first one and perhaps a hedged one beside it.
 struct Round<'a> {
     shared: &'a Arc<Shared>,
     call: &'a Arc<Call>,
     ticket: &'a Ticket,
     attempts: FuturesUnordered<Pin<Box<dyn Future<Output = AttemptEnd> + Send>>>,
-    running: Vec<(VmId, CancellationToken)>,
+    running: Vec<Running>,
     suspects: (mpsc::UnboundedSender<VmId>, mpsc::UnboundedReceiver<VmId>),
     silent_after: Millis,
     hedge_after: Option<Millis>,
@@ -180,7 +187,7 @@
                     self.hedge();
                 }
                 Some((pick, result)) = self.attempts.next() => {
-                    self.running.retain(|(vm, _)| *vm != pick.vm);
+                    self.running.retain(|held| held.vm != pick.vm);
                     match result {
                         Ok(won) => {
                             return Step::Won(Box::new(won), pick.version, self.end_others());
@@ -189,7 +196,10 @@
                         Err(outcome) => self.ticket.ender().end_attempt(&pick.vm, outcome),
                     }
                 }
-                Some(_) = self.suspects.1.recv() => {
+                Some(vm) = self.suspects.1.recv() => {
+                    for held in self.running.iter_mut().filter(|held| held.vm == vm) {
+                        held.suspect = true;
+                    }
                     if !self.hedge() {
                         let left = deadline.since(clock.now());
                         give_up = give_up.min(clock.now() + Millis(left.get() / PATIENCE_DIVISOR));
@@ -205,7 +215,11 @@
     fn start(&mut self, pick: Pick) {
         let (shared, call) = (self.shared.clone(), self.call.clone());
         let dead = CancellationToken::new();
-        self.running.push((pick.vm.clone(), dead.clone()));
+        self.running.push(Running {
+            vm: pick.vm.clone(),
+            dead: dead.clone(),
+            suspect: false,
+        });
         let attempt = Attempt {
             pool: shared
                 .pools
@@ -244,23 +258,27 @@
 
     /// Ends the attempts that lost and frees their slots once their connections are closed.
     fn end_others(self) -> JoinHandle<()> {
-        for (_, dead) in &self.running {
-            dead.cancel();
-        }
+        self.running.iter().for_each(|held| held.dead.cancel());
         let ender = self.ticket.ender();
-        let mut attempts = self.attempts;
+        let (mut attempts, running) = (self.attempts, self.running);
         tokio::spawn(async move {
             while let Some((pick, _)) = attempts.next().await {
-                ender.end_attempt(&pick.vm, Outcome::Silent);
+                let suspect = running
+                    .iter()
+                    .any(|held| held.vm == pick.vm && held.suspect);
+                let outcome = if suspect {
+                    Outcome::Silent
+                } else {
+                    Outcome::Abandoned
+                };
+                ender.end_attempt(&pick.vm, outcome);
             }
         })
     }
 
     /// Ends all attempts; returns the outcome that says least about whether the request ran.
     async fn end_all(mut self) -> Outcome {
-        for (_, dead) in &self.running {
-            dead.cancel();
-        }
+        self.running.iter().for_each(|held| held.dead.cancel());
         let mut outcomes = Vec::new();
         while let Some((pick, result)) = self.attempts.next().await {
             let outcome = result.err().unwrap_or(Outcome::Abandoned);
