--- /dev/null
+++ b/tests/proxy_failures.rs
@@ -0,0 +1,228 @@
+//! What callers are told when endpoints and connections fail, and what ran by then.
+
+mod proxy_support;
+
+use std::time::Duration;
+
+use http::StatusCode;
+use proxy_support::*;
+
+const SILENT_DEADLINE_MS: &str = "3000";
+
+/// Opens idle connections to the endpoints and silences them.
+async fn silence(entry: &Entry, endpoints: &[std::sync::Arc<sapphirecroft::standin::Endpoint>]) {
+    let calls = (0..8).map(|i| {
+        let addr = entry.addr;
+        tokio::spawn(async move { call(addr, get(&format!("warm{i}"), 50, 0)).await })
+    });
+    for task in calls.collect::<Vec<_>>() {
+        assert_eq!(task.await.expect("caller ends").status, StatusCode::OK);
+    }
+    for endpoint in endpoints {
+        endpoint.faults.silence_open_connections();
+    }
+}
+
+/// Guards against "not run" for a request that an endpoint has seen, and the other way round.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_is_true_and_leaves_the_key_free() {
+    let endpoints = endpoints(2).await;
+    let entry = Entry::alone(shares(&endpoints, 8)).await;
+    endpoints
+        .iter()
+        .for_each(|held| held.faults.set_refuse(true));
+
+    let refused = call(entry.addr, post("p", 1, 0)).await;
+    let runs_before = runs(&endpoints, "p");
+    endpoints
+        .iter()
+        .for_each(|held| held.faults.set_refuse(false));
+    let repeated = call(entry.addr, post("p", 1, 0)).await;
+
+    assert_eq!(refused.outcome(), "not-run", "{refused:?}");
+    assert!(refused.header("retry-after-ms").parse::<u64>().is_ok());
+    assert!(refused.header("retry-after").parse::<u64>().is_ok());
+    assert_eq!(runs_before, 0);
+    assert!(repeated.is_whole_answer_to("p"), "{repeated:?}");
+    assert_eq!(runs(&endpoints, "p"), 1);
+}
+
+/// Guards against a refusal for want of a connection that hides an attempt.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreachable_endpoint_means_not_run() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("port is free");
+    let addr = listener.local_addr().expect("socket is bound");
+    drop(listener);
+    let entry = Entry::alone(vec![share(addr, 8)]).await;
+
+    let got = call(entry.addr, post("p", 1, 0)).await;
+
+    assert_eq!(got.outcome(), "not-run", "{got:?}");
+}
+
+/// Guards against a second run after a connection broke with the request on it.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_connection_is_unknown_and_not_repeated() {
+    let raw = [RawEndpoint::start("").await, RawEndpoint::start("").await];
+    let entry = Entry::alone(vec![share(raw[0].addr, 8), share(raw[1].addr, 8)]).await;
+
+    let first = call(entry.addr, post("p", 1, 0)).await;
+    let repeat = call(entry.addr, post("p", 1, 0)).await;
+
+    assert_eq!(first.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(first.outcome(), "unknown");
+    assert_eq!(repeat.outcome(), "unknown");
+    let sent: usize = raw.iter().map(|held| held.heads.lock().len()).sum();
+    assert_eq!(sent, 1);
+}
+
+/// Guards against a second run after a connection turned silent with the request on it.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connection_is_unknown_at_the_deadline_and_not_repeated() {
+    let endpoints = endpoints(2).await;
+    let entry = Entry::alone(shares(&endpoints, 8)).await;
+    let mut req = post("p", 300, 0);
+    let deadline = SILENT_DEADLINE_MS.parse().expect("value");
+    req.headers_mut()
+        .insert("sapphirecroft-deadline-ms", deadline);
+
+    let addr = entry.addr;
+    let first = tokio::spawn(async move { call(addr, req).await });
+    until("the request runs", || runs(&endpoints, "p") == 1).await;
+    for endpoint in &endpoints {
+        endpoint.faults.silence_open_connections();
+    }
+    let first = first.await.expect("caller ends");
+
+    assert_eq!(first.status, StatusCode::GATEWAY_TIMEOUT, "{first:?}");
+    assert_eq!(first.outcome(), "unknown");
+    assert_eq!(runs(&endpoints, "p"), 1);
+}
+
+/// Guards against requests that wait on silent connections while fresh ones work.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_are_replaced() {
+    let endpoints = endpoints(2).await;
+    let entry = Entry::alone(shares(&endpoints, 8)).await;
+    silence(&entry, &endpoints).await;
+
+    for i in 0..6 {
+        let name = format!("r{i}");
+        let got = call(entry.addr, get(&name, 1, 0)).await;
+        assert!(got.is_whole_answer_to(&name), "{got:?}");
+    }
+}
+
+/// Guards against a request that may run only once being sent on a dead idle connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_are_probed_before_keyed_requests() {
+    let endpoints = endpoints(1).await;
+    let entry = Entry::alone(shares(&endpoints, 8)).await;
+    silence(&entry, &endpoints).await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+
+    let got = call(entry.addr, post("p", 1, 0)).await;
+
+    assert!(got.is_whole_answer_to("p"), "{got:?}");
+    assert_eq!(runs(&endpoints, "p"), 1);
+}
+
+/// Guards against more requests or connections at an endpoint than this process may have there.
+#[tokio::test(flavor = "multi_thread")]
+async fn slots_and_connections_stay_within_their_limits() {
+    let endpoints = endpoints(2).await;
+    let entry = Entry::alone(shares(&endpoints, 2)).await;
+    let mut tasks = Vec::new();
+    for round in 0..4 {
+        for i in 0..20 {
+            let addr = entry.addr;
+            let req = get(&format!("r{round}-{i}"), 10, 300_000);
+            tasks.push(tokio::spawn(async move {
+                if i % 5 == 0 {
+                    // The caller leaves while its answer is on its way.
+                    let mut client = Client::connect(addr).await;
+                    let sent = client.send(req);
+                    let _ = tokio::time::timeout(Duration::from_millis(15), sent).await;
+                } else {
+                    call(addr, req).await;
+                }
+            }));
+        }
+        endpoints[round % 2].faults.silence_open_connections();
+        endpoints[round % 2].faults.set_truncate(round == 2);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    for task in tasks {
+        let _ = task.await;
+    }
+
+    for endpoint in &endpoints {
+        let log = endpoint.log();
+        assert!(log.max_in_progress <= 2, "{}", log.max_in_progress);
+        assert!(log.max_connections <= 16, "{}", log.max_connections);
+    }
+    let proxy = &entry.proxy;
+    until("no request is in progress", || proxy.in_progress() == 0).await;
+    until("all slots are free", || {
+        entry.dispatcher.lock().load(&id("booking")).in_progress == 0
+    })
+    .await;
+}
+
+/// Guards against connections that outlive the loss of their slots.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_close_when_slots_are_taken_away() {
+    let endpoints = endpoints(1).await;
+    let entry = Entry::alone(shares(&endpoints, 8)).await;
+    for i in 0..3 {
+        call(entry.addr, get(&format!("r{i}"), 1, 0)).await;
+    }
+
+    entry
+        .proxy
+        .set_endpoints(&id("booking"), shares(&endpoints, 0));
+
+    until("connections are closed", || {
+        endpoints[0].log().connections == 0
+    })
+    .await;
+    let address = sapphirecroft::model::Address(endpoints[0].addr());
+    until("permits are free", || entry.proxy.connections(address) == 0).await;
+}
+
+/// Guards against a shutdown that cuts answers off or starts new work.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_shutdown_cuts_nothing_off() {
+    let endpoints = endpoints(2).await;
+    let entry = Entry::alone(shares(&endpoints, 8)).await;
+    let mut idle = Client::connect(entry.addr).await;
+    idle.send(get("before", 1, 0)).await.expect("answer");
+    let calls: Vec<_> = (0..16)
+        .map(|i| {
+            let addr = entry.addr;
+            tokio::spawn(async move {
+                let name = format!("r{i}");
+                let got = call(addr, get(&name, 1_500, 2_000_000)).await;
+                (name, got)
+            })
+        })
+        .collect();
+    until("all requests are in progress", || {
+        entry.proxy.in_progress() == 16
+    })
+    .await;
+
+    entry.cancel.cancel();
+    let late = idle.send(get("late", 1, 0)).await.expect("answer");
+
+    assert_eq!(late.outcome(), "not-run");
+    assert_eq!(late.header("connection"), "close");
+    for task in calls {
+        let (name, got) = task.await.expect("caller ends");
+        assert!(got.is_whole_answer_to(&name), "{name}: {:?}", got.status);
+    }
+    let drained = tokio::time::timeout(PATIENCE, entry.proxy.drained()).await;
+    assert!(drained.is_ok());
+    assert_eq!(entry.proxy.in_progress(), 0);
+    assert_eq!(runs(&endpoints, "late"), 0);
+}
