--- a/tests/proxy_support/ring.rs
+++ b/tests/proxy_support/ring.rs
@@ -79,6 +79,10 @@
         self.addrs.write().insert(member.clone(), addr);
     }
 
+    pub fn addr(&self, member: &MemberId) -> SocketAddr {
+        self.addrs.read()[member]
+    }
+
     pub fn ownership(&self, me: &MemberId) -> RingOwnership {
         RingOwnership {
             me: me.clone(),
