--- /dev/null
+++ b/tests/dedup_table.rs
@@ -0,0 +1,281 @@
+//! Idempotency keys against an oracle: two tables, lost messages, expiry and fail-over.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use sapphirecroft::dedup::*;
+use sapphirecroft::model::*;
+use sapphirecroft::schema::dedup::{RecordedAnswer, RecordedHeader};
+
+const RETENTION: Millis = Millis(1_000);
+const MAX_RECORDS: usize = 6;
+const MAX_BYTES: usize = 600;
+
+#[derive(Clone, Debug)]
+enum Op {
+    /// Records a key at the home and, unless the message is lost, at the backup.
+    Record { key: usize, lost: bool },
+    /// Ends the newest attempt of a key and perhaps tells the backup.
+    End { key: usize, how: usize, lost: bool },
+    /// Lets time pass.
+    Pass { ms: u64 },
+    /// Replaces the home by the backup and starts an empty backup with a full hand-over.
+    FailOver,
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        6 => (0..8usize, prop::bool::weighted(0.2)).prop_map(|(key, lost)| Op::Record { key, lost }),
+        5 => (0..8usize, 0..4usize, any::<bool>())
+            .prop_map(|(key, how, lost)| Op::End { key, how, lost }),
+        2 => (1..600u64).prop_map(|ms| Op::Pass { ms }),
+        1 => Just(Op::FailOver),
+    ]
+}
+
+/// What really happened to the newest attempt of a key.
+#[derive(Clone, Debug)]
+struct Fact {
+    attempt: WriterToken,
+    at: Millis,
+    ended: Option<Completion>,
+}
+
+impl Fact {
+    fn may_have_run(&self, now: Millis) -> bool {
+        now.since(self.at) < RETENTION && self.ended != Some(Completion::NotRun)
+    }
+}
+
+struct World {
+    home: KeyTable,
+    backup: KeyTable,
+    facts: HashMap<String, Fact>,
+    now: Millis,
+    attempts: u64,
+}
+
+fn table() -> KeyTable {
+    KeyTable::new(KeyLimits {
+        retention: RETENTION,
+        max_records: MAX_RECORDS,
+        max_bytes: MAX_BYTES,
+        max_answer_bytes: 200,
+    })
+}
+
+fn answer(size: usize) -> Arc<RecordedAnswer> {
+    Arc::new(RecordedAnswer {
+        status: 200,
+        headers: vec![RecordedHeader {
+            name: "x".into(),
+            value: "y".into(),
+        }],
+        body: vec![1; size],
+    })
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            home: table(),
+            backup: table(),
+            facts: HashMap::new(),
+            now: Millis::ZERO,
+            attempts: 0,
+        }
+    }
+
+    fn apply(&mut self, op: &Op) {
+        match op {
+            Op::Record { key, lost } => self.record(&format!("k{key}"), *lost),
+            Op::End { key, how, lost } => self.end(&format!("k{key}"), *how, *lost),
+            Op::Pass { ms } => self.now = self.now + Millis(*ms),
+            Op::FailOver => {
+                self.home = std::mem::replace(&mut self.backup, table());
+                for key in self.home.keys() {
+                    if let Some(record) = self.home.export(&key, self.now) {
+                        self.backup.merge(&record, self.now);
+                    }
+                }
+            }
+        }
+        assert!(self.home.len() <= MAX_RECORDS);
+        assert!(self.home.bytes() <= MAX_BYTES);
+    }
+
+    /// Records a key as the request path does and sends the request if both tables have it.
+    fn record(&mut self, key: &str, lost: bool) {
+        self.attempts += 1;
+        let attempt: WriterToken = format!("m:{}", self.attempts).parse().expect("token");
+        let before = self.facts.get(key).cloned();
+        let ran = before
+            .as_ref()
+            .is_some_and(|fact| fact.may_have_run(self.now));
+        match self.home.record(key, "POST /", &attempt, self.now) {
+            Recorded::New { replaces } => {
+                assert!(!ran, "{key} is recorded again, but {before:?}");
+                let record = self.home.export(key, self.now).expect("record exists");
+                let copied = if lost {
+                    BackUp::Full
+                } else {
+                    self.backup.back_up(&record, replaces.as_ref(), self.now)
+                };
+                if copied != BackUp::Recorded {
+                    // Nothing is sent, so nothing ran.
+                    self.home.complete(key, &attempt, Completion::NotRun);
+                    return;
+                }
+                let (at, ended) = (self.now, None);
+                let fact = Fact { attempt, at, ended };
+                self.facts.insert(key.to_string(), fact);
+            }
+            Recorded::Repeat(Repeat::Answered(given)) => {
+                let ended = before.and_then(|fact| fact.ended);
+                assert_eq!(ended, Some(Completion::Answered(given)), "{key}");
+            }
+            Recorded::Repeat(Repeat::Unknown) => {
+                // The first request was sent, or its record could not be withdrawn at a backup.
+                assert!(self.home.lookup(key, self.now).is_some());
+            }
+            Recorded::Repeat(Repeat::OtherRequest) => panic!("all requests are the same"),
+            Recorded::Full => assert!(self.home.len() >= MAX_RECORDS),
+        }
+    }
+
+    fn end(&mut self, key: &str, how: usize, lost: bool) {
+        let Some(fact) = self.facts.get_mut(key).filter(|fact| fact.ended.is_none()) else {
+            return;
+        };
+        let completion = match how {
+            0 => Completion::NotRun,
+            1 => Completion::Unknown,
+            2 => Completion::Answered(answer(100)),
+            _ => Completion::Answered(answer(190)),
+        };
+        fact.ended = Some(completion.clone());
+        self.home.complete(key, &fact.attempt, completion);
+        if !lost && let Some(record) = self.home.export(key, self.now) {
+            self.backup.merge(&record, self.now);
+        }
+    }
+}
+
+/// Guards against a key that is granted again although its request may have run, against
+/// answers of another attempt, and against unbounded tables.
+#[test]
+fn key_tables_agree_with_the_oracle() {
+    let config = Config {
+        cases: 400,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let ops = prop::collection::vec(op(), 1..120);
+
+    let result = runner.run(&ops, |ops| {
+        let mut world = World::new();
+        ops.iter().for_each(|op| world.apply(op));
+        Ok(())
+    });
+
+    assert!(result.is_ok(), "{}", result.unwrap_err());
+}
+
+/// Guards against keys that stay blocked after their retention.
+#[test]
+fn keys_are_free_again_after_the_retention() {
+    let mut table = table();
+    let attempt: WriterToken = "m:1".parse().expect("token");
+    table.record("k", "POST /", &attempt, Millis(0));
+
+    let early = table.record("k", "POST /", &attempt, Millis(999));
+    let late = table.record("k", "POST /", &attempt, Millis(1_000));
+
+    assert_eq!(early, Recorded::Repeat(Repeat::Unknown));
+    assert_eq!(late, Recorded::New { replaces: None });
+}
+
+struct View(u64, Vec<&'static str>);
+
+impl KeyView for View {
+    fn epoch(&self) -> Epoch {
+        Epoch(self.0)
+    }
+
+    fn members(&self) -> Vec<MemberId> {
+        self.1.iter().map(|name| member(name)).collect()
+    }
+
+    /// The first two members hold every key.
+    fn holders(&self, _key: &str) -> Vec<MemberId> {
+        self.members().into_iter().take(2).collect()
+    }
+}
+
+fn member(name: &str) -> MemberId {
+    name.parse().expect("member")
+}
+
+fn coverage(epoch: u64, names: &[&'static str]) -> Coverage {
+    let view = Arc::new(View(epoch, names.to_vec()));
+    Coverage::new(member("c"), RETENTION, view, Millis(0))
+}
+
+/// Guards against a new holder that grants keys before it knows their earlier uses.
+#[test]
+fn new_holder_waits_for_a_hand_over_of_an_earlier_holder() {
+    let mut coverage = coverage(1, &["a", "b", "c"]);
+    coverage.adopt(Arc::new(View(2, vec!["b", "c"])), Millis(100));
+    let until = Millis(1_100);
+
+    let before = coverage.cover("k", Millis(200));
+    coverage.receive(&member("b"), Epoch(2), false, 1);
+    let unsettled = coverage.cover("k", Millis(200));
+    coverage.receive(&member("b"), Epoch(2), true, 1);
+    let after = coverage.cover("k", Millis(200));
+
+    assert_eq!(before, Cover::Waiting { until });
+    assert_eq!(unsettled, Cover::Waiting { until });
+    assert_eq!(after, Cover::Complete);
+}
+
+/// Guards against grants while earlier uses are lost, and against refusals without end.
+#[test]
+fn lost_range_is_refused_for_the_retention() {
+    let mut coverage = coverage(1, &["a", "b", "c"]);
+    coverage.adopt(Arc::new(View(2, vec!["c", "d"])), Millis(100));
+    coverage.adopt(Arc::new(View(3, vec!["c", "e"])), Millis(300));
+
+    let during = coverage.cover("k", Millis(1_099));
+    let after = coverage.cover("k", Millis(1_100));
+
+    let until = Millis(1_100);
+    assert_eq!(during, Cover::Lost { until });
+    assert_eq!(after, Cover::Complete);
+}
+
+/// Guards against a process that joins a running region and takes its empty table for the truth.
+#[test]
+fn joining_holder_needs_hand_overs_of_all_members() {
+    let mut joined = coverage(5, &["a", "c", "d"]);
+    let alone = coverage(5, &["c"]);
+    let first = coverage(1, &["c"]);
+
+    joined.receive(&member("a"), Epoch(5), true, 1);
+    let partly = joined.cover("k", Millis(10));
+    joined.receive(&member("d"), Epoch(5), true, 1);
+    let complete = joined.cover("k", Millis(10));
+    joined.receive(&member("d"), Epoch(5), true, 2);
+    let both_lost = joined.cover("k", Millis(10));
+
+    let until = Millis(1_000);
+    assert_eq!(partly, Cover::Waiting { until });
+    assert_eq!(complete, Cover::Complete);
+    assert_eq!(both_lost, Cover::Lost { until });
+    assert_eq!(alone.cover("k", Millis(10)), Cover::Lost { until });
+    assert_eq!(first.cover("k", Millis(10)), Cover::Complete);
+}
