--- a/tests/proxy_failures.rs
+++ b/tests/proxy_failures.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use http::StatusCode;
 use proxy_support::*;
 
@@ -169,6 +170,27 @@
     .await;
 }
 
+/// Guards against connections in the course of being closed that are not counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_being_closed_count_against_the_limit() {
+    let mute = MuteEndpoint::start().await;
+    let entry = Entry::alone(vec![share(mute.addr, 1)]).await;
+
+    let mut outcomes = Vec::new();
+    for i in 0..12 {
+        let mut req = post(&format!("p{i}"), 1, 0);
+        let deadline = "100".parse().expect("value");
+        req.headers_mut()
+            .insert("sapphirecroft-deadline-ms", deadline);
+        outcomes.push(call(entry.addr, req).await.outcome().to_string());
+    }
+
+    assert_eq!(mute.open.lock().len(), 8);
+    let unknown = outcomes.iter().filter(|held| *held == "unknown").count();
+    let not_run = outcomes.iter().filter(|held| *held == "not-run").count();
+    assert_eq!((unknown, not_run), (8, 4), "{outcomes:?}");
+}
+
 /// Guards against connections that outlive the loss of their slots.
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_close_when_slots_are_taken_away() {
@@ -213,6 +235,7 @@
     .await;
 
     entry.cancel.cancel();
+    assert!(entry.proxy.drained().now_or_never().is_none());
     let late = idle.send(get("late", 1, 0)).await.expect("answer");
 
     assert_eq!(late.outcome(), "not-run");
--- a/tests/proxy_support/mod.rs
+++ b/tests/proxy_support/mod.rs
@@ -23,7 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 pub use caller::{Client, Got, call, get, post};
-pub use raw::RawEndpoint;
+pub use raw::{MuteEndpoint, RawEndpoint};
 pub use ring::{Ring, RingView};
 
 /// Longest wait for anything that must happen.
--- a/tests/proxy_support/raw.rs
+++ b/tests/proxy_support/raw.rs
@@ -44,3 +44,26 @@
     let _ = stream.write_all(answer.as_bytes()).await;
     let _ = stream.shutdown().await;
 }
+
+/// Accepts requests, never answers and never closes; counts its connections.
+pub struct MuteEndpoint {
+    pub addr: SocketAddr,
+    pub open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl MuteEndpoint {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("port is free");
+        let addr = listener.local_addr().expect("socket is bound");
+        let open = Arc::new(Mutex::new(Vec::new()));
+        let held = open.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                held.lock().push(stream);
+            }
+        });
+        Self { addr, open }
+    }
+}
