--- /dev/null
+++ b/src/proxy/config.rs
@@ -0,0 +1,38 @@
+//! What a proxy needs to know from its daemon.
+
+use tokio::time::Instant;
+
+use super::Clock;
+use crate::dedup::{KeyLimits, KeyView};
+use crate::prelude::*;
+
+/// Connections to one peer, for forwarded requests.
+const PEER_CONNECTIONS: u32 = 64;
+
+/// Identity and limits of a proxy.
+#[derive(Clone)]
+pub struct ProxyConfig {
+    /// This process.
+    pub member: MemberId,
+    /// Clock shared with all other users of the dispatcher.
+    pub clock: Clock,
+    /// Bounds of the table of idempotency keys.
+    pub keys: KeyLimits,
+    /// Members and key holders of the epoch in which the process starts; alone if absent.
+    pub first_view: Option<Arc<dyn KeyView>>,
+    /// Connections to one peer.
+    pub peer_connections: u32,
+}
+
+impl ProxyConfig {
+    /// Creates a configuration whose clock starts now.
+    pub fn new(member: MemberId) -> Self {
+        Self {
+            member,
+            clock: Clock::new(Instant::now()),
+            keys: KeyLimits::default(),
+            first_view: None,
+            peer_connections: PEER_CONNECTIONS,
+        }
+    }
+}
