Run batch jobs from submission to acknowledged finish

Batch jobs had no owner: nothing recorded, placed or started them.

Add the job shard records with group commit, the state machine of jobs and tasks, the rack owner's reservation book with claims, leases and proofs of ended attempts, interference estimates with throttling and eviction, and the batch node that runs both over the platform traits and between members.

--- /dev/null
+++ b/src/batch/calls.rs
@@ -0,0 +1,108 @@
+//! Calls about jobs and racks between members.
+
+use async_trait::async_trait;
+
+use super::refusal::Refusal;
+use crate::membership::Ownership;
+use crate::prelude::*;
+use crate::schema::batch::{JobFilter, JobReport, JobSpec, JobView, RackAnswer, RackCall};
+use crate::web::Caller;
+
+/// Path under which peers reach the batch node.
+pub const PEER_PATH: &str = "/peer/batch/";
+
+/// Longest wait for a rack owner.
+const RACK_TIMEOUT: Millis = Millis(2000);
+
+/// Longest wait for a job owner, which answers after the change is durable.
+const JOB_TIMEOUT: Millis = Millis(7000);
+
+/// A call to the owner of job shards.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum JobCall {
+    /// Submits a job.
+    Submit(JobSpec),
+    /// Cancels matching jobs of the shards.
+    Cancel(Vec<u32>, JobFilter),
+    /// Lists matching jobs of the shards.
+    List(Vec<u32>, JobFilter),
+}
+
+/// Answer of the owner of job shards.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum JobAnswer {
+    /// The job is durable.
+    Submitted(JobId),
+    /// The cancellation of these jobs is durable.
+    Cancelled(Vec<JobId>),
+    /// Matching jobs.
+    Jobs(Vec<JobView>),
+    /// The call was not carried out, or its outcome is unknown.
+    Refused(Refusal),
+}
+
+/// Reaches other members in their roles as rack owners and job owners.
+#[async_trait]
+pub trait RackCalls: Send + Sync {
+    /// Reserves, starts, stops and releases attempts at a rack owner, and reads its digest.
+    async fn exchange(&self, owner: &MemberId, call: &RackCall) -> Result<RackAnswer, CallError>;
+
+    /// Reports states of attempts to a job owner.
+    async fn report(&self, owner: &MemberId, report: &JobReport) -> Result<(), CallError>;
+
+    /// Calls a job owner on behalf of an operator.
+    async fn jobs(&self, owner: &MemberId, call: &JobCall) -> Result<JobAnswer, CallError>;
+}
+
+/// Reaches other members over HTTP with MessagePack.
+pub struct PeerCalls {
+    ownership: Arc<dyn Ownership>,
+    caller: Caller,
+}
+
+impl PeerCalls {
+    /// Creates calls that find peers by their member ids.
+    pub fn new(ownership: Arc<dyn Ownership>) -> Self {
+        Self {
+            ownership,
+            caller: Caller::new(),
+        }
+    }
+
+    async fn call<T, R>(
+        &self,
+        owner: &MemberId,
+        name: &str,
+        message: &T,
+        timeout: Millis,
+    ) -> Result<R, CallError>
+    where
+        T: serde::Serialize + Sync,
+        R: serde::de::DeserializeOwned,
+    {
+        let addr = self
+            .ownership
+            .peer_addr(owner)
+            .ok_or_else(|| CallError::Connect {
+                addr: owner.to_string(),
+                reason: "member has no known address".to_string(),
+            })?;
+        let path = format!("{PEER_PATH}{name}");
+        self.caller.exchange(&addr, &path, message, timeout).await
+    }
+}
+
+#[async_trait]
+impl RackCalls for PeerCalls {
+    async fn exchange(&self, owner: &MemberId, call: &RackCall) -> Result<RackAnswer, CallError> {
+        self.call(owner, "exchange", call, RACK_TIMEOUT).await
+    }
+
+    async fn report(&self, owner: &MemberId, report: &JobReport) -> Result<(), CallError> {
+        self.call(owner, "report", report, RACK_TIMEOUT).await
+    }
+
+    async fn jobs(&self, owner: &MemberId, call: &JobCall) -> Result<JobAnswer, CallError> {
+        self.call(owner, "jobs", call, JOB_TIMEOUT).await
+    }
+}
--- /dev/null
+++ b/src/batch/limits.rs
@@ -0,0 +1,76 @@
+//! Which jobs can ever run.
+
+use super::refusal::Refusal;
+use super::shares::quota;
+use crate::placement::Fleet;
+use crate::schema::batch::JobSpec;
+use crate::schema::bundle::Bundle;
+
+/// Size above which a shard record takes no new jobs; a value may have 1 MB.
+pub const MAX_RECORD_BYTES: usize = 512 << 10;
+
+/// Longest key, kind, label name and label value.
+const MAX_TEXT_BYTES: usize = 128;
+
+/// Most labels of a job.
+const MAX_LABELS: usize = 16;
+
+/// Checks a specification at submission.
+pub fn check_spec(spec: &JobSpec, bundle: &Bundle, fleet: &Fleet) -> Result<(), Refusal> {
+    let invalid = |what: &str| Err(Refusal::Invalid(what.to_string()));
+    let long = |text: &String| text.is_empty() || text.len() > MAX_TEXT_BYTES;
+    if long(&spec.key) || long(&spec.kind) {
+        return invalid("key and kind must have 1 to 128 bytes");
+    }
+    let labels_fit = spec.labels.len() <= MAX_LABELS
+        && !spec
+            .labels
+            .iter()
+            .any(|(name, value)| long(name) || value.len() > MAX_TEXT_BYTES);
+    if !labels_fit {
+        return invalid("at most 16 labels of at most 128 bytes are allowed");
+    }
+    if spec.tasks == 0 || spec.tasks > bundle.batch.max_tasks_per_job {
+        return Err(Refusal::Invalid(format!(
+            "{} tasks; 1 to {} are allowed",
+            spec.tasks, bundle.batch.max_tasks_per_job
+        )));
+    }
+    if !bundle.batch_class.contains_key(&spec.class) {
+        return Err(Refusal::Invalid(format!("no batch class {}", spec.class)));
+    }
+    if fleet.is_empty() {
+        let unknown = "the VM list has not been read yet".to_string();
+        return Err(Refusal::NotAccepted(unknown));
+    }
+    match obstacle(spec, bundle, fleet) {
+        Some(reason) => Err(Refusal::Impossible(reason)),
+        None => Ok(()),
+    }
+}
+
+/// Returns why no task of the job can run on this fleet under this bundle.
+pub fn obstacle(spec: &JobSpec, bundle: &Bundle, fleet: &Fleet) -> Option<String> {
+    let size = &spec.resources;
+    let Some(team) = bundle.team.get(&spec.team) else {
+        return Some(format!("team {} has no quota", spec.team));
+    };
+    let quota = quota(team);
+    if !size.fits(&quota) {
+        return Some(format!(
+            "a task needs {size}, the quota of team {} is {quota}",
+            spec.team
+        ));
+    }
+    if !fleet.is_empty() && !fleet.can_hold(size) {
+        return Some(format!("a task needs {size}, no worker is that large"));
+    }
+    let zones = fleet.all_zones().len();
+    let spread = spec.zone_spread.unwrap_or(1);
+    if !fleet.is_empty() && usize::try_from(spread).is_ok_and(|spread| spread > zones) {
+        return Some(format!(
+            "tasks must spread over {spread} availability zones, there are {zones}"
+        ));
+    }
+    None
+}
--- /dev/null
+++ b/src/batch/mod.rs
@@ -0,0 +1,26 @@
+//! Life of batch jobs: durable states, group commit, order of start, and the node that runs them.
+
+mod calls;
+mod exchange;
+mod ids;
+mod job;
+mod limits;
+mod node;
+mod owner;
+mod refusal;
+mod requests;
+mod select;
+mod service;
+mod shard;
+mod shares;
+
+pub use calls::{JobAnswer, JobCall, PEER_PATH, PeerCalls, RackCalls};
+pub use ids::{SHARDS, job_id, shard_key, shard_of_job, shard_of_key, split_task, task_id};
+pub use limits::{check_spec, obstacle};
+pub use node::{BatchNode, BatchParts};
+pub use owner::JobOwner;
+pub use refusal::Refusal;
+pub use select::{Pick, WaitingJob, pick_tasks};
+pub use service::BatchService;
+pub use shard::{COMMIT_INTERVAL, JobShard, StoreResult, StoreStep};
+pub use shares::{TeamShares, quota};
--- /dev/null
+++ b/src/batch/node.rs
@@ -0,0 +1,240 @@
+//! Runs the decisions of job owner and rack owner against the platform and other members.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use super::calls::RackCalls;
+use super::owner::JobOwner;
+use super::shard::{StoreResult, StoreStep};
+use crate::bundle::ActiveBundle;
+use crate::membership::Ownership;
+use crate::placement::{AgentWork, Fleet, RackOwner};
+use crate::platform::{CasOutcome, Store, WorkerAgent};
+use crate::prelude::*;
+use crate::schema::batch::{JobReport, RackAnswer, RackCall};
+use crate::schema::vm::VmRecord;
+
+/// Longest pause between two rounds.
+const ROUND: Duration = Duration::from_millis(250);
+
+/// Shortest pause between two rounds, so that answers that arrive together cost one round.
+const MIN_ROUND: Duration = Duration::from_millis(50);
+
+/// Everything that a batch node talks to.
+pub struct BatchParts {
+    /// Region of this process.
+    pub region: RegionId,
+    /// Key-value service.
+    pub store: Arc<dyn Store>,
+    /// Worker agents.
+    pub agent: Arc<dyn WorkerAgent>,
+    /// Who owns which rack and job shard.
+    pub ownership: Arc<dyn Ownership>,
+    /// Bundle in force.
+    pub bundle: Arc<ActiveBundle>,
+    /// Calls to other members.
+    pub calls: Arc<dyn RackCalls>,
+    /// Seed for the sampling of candidate workers.
+    pub seed: u64,
+}
+
+/// The batch side of one entry process.
+pub struct BatchNode {
+    pub(super) parts: BatchParts,
+    pub(super) jobs: Mutex<JobOwner>,
+    pub(super) changed: Notify,
+    racks: Mutex<RackOwner>,
+    wake: Notify,
+    started: Instant,
+    started_wall: Millis,
+}
+
+impl BatchNode {
+    /// Creates a node that is idle until `run` is called.
+    pub fn new(parts: BatchParts) -> Arc<Self> {
+        let wall = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Arc::new(Self {
+            jobs: Mutex::new(JobOwner::new(parts.region.clone(), parts.ownership.clone())),
+            racks: Mutex::new(RackOwner::new(parts.ownership.clone(), parts.seed)),
+            parts,
+            changed: Notify::new(),
+            wake: Notify::new(),
+            started: Instant::now(),
+            started_wall: wall.into(),
+        })
+    }
+
+    /// Takes in the VM list.
+    pub fn set_vms(&self, vms: &[VmRecord]) {
+        let fleet = Arc::new(Fleet::new(&self.parts.region, vms));
+        let bundle = self.parts.bundle.current();
+        let now = self.now();
+        self.racks.lock().set_site(&fleet, bundle.clone(), now);
+        self.jobs.lock().set_site(fleet, bundle);
+        self.wake.notify_one();
+    }
+
+    /// Takes in the measured slowdown of the service on a worker; 1000 is full speed.
+    pub fn service_sample(&self, worker: &VmId, slowdown: Permille, age: Millis) {
+        let now = self.now();
+        let mut racks = self.racks.lock();
+        racks.service_sample(worker, slowdown, age, now);
+    }
+
+    /// Evicts a running attempt with a checkpoint, within the eviction budget.
+    pub fn evict(&self, worker: &VmId, task: &TaskId) -> bool {
+        let now = self.now();
+        let evicted = self.racks.lock().evict(worker, task, now);
+        self.wake.notify_one();
+        evicted
+    }
+
+    /// Lists quarantined workers of own racks.
+    pub fn quarantined(&self) -> Vec<VmId> {
+        self.racks.lock().quarantined()
+    }
+
+    /// Lists own workers with what is promised on them and their capacity.
+    pub fn promised(&self) -> Vec<(VmId, Resources, Resources)> {
+        self.racks.lock().promised()
+    }
+
+    /// Works until `cancel` fires.
+    pub async fn run(self: Arc<Self>, cancel: CancellationToken) {
+        loop {
+            self.round();
+            let pause = async {
+                tokio::time::sleep(MIN_ROUND).await;
+                let _ = tokio::time::timeout(ROUND - MIN_ROUND, self.wake.notified()).await;
+            };
+            tokio::select! {
+                () = pause => {}
+                () = cancel.cancelled() => return,
+            }
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.started.elapsed().into()
+    }
+
+    /// Returns the time for records, which outlive this process; it never goes back.
+    pub(super) fn wall(&self) -> Millis {
+        self.started_wall + self.now()
+    }
+
+    fn round(self: &Arc<Self>) {
+        let (now, wall) = (self.now(), self.wall());
+        let bundle = self.parts.bundle.current();
+        let (steps, calls) = {
+            let mut jobs = self.jobs.lock();
+            jobs.adopt_epoch();
+            jobs.set_bundle(bundle);
+            jobs.settle_jobs(wall);
+            (jobs.store_steps(wall), jobs.rack_calls(wall))
+        };
+        let (work, reports) = {
+            let mut racks = self.racks.lock();
+            racks.adopt_epoch(now);
+            (racks.agent_work(now), racks.reports(now))
+        };
+        for (shard, key, step) in steps {
+            tokio::spawn(self.clone().take_store_step(shard, key, step));
+        }
+        for (owner, call) in calls {
+            tokio::spawn(self.clone().send_exchange(owner, call));
+        }
+        for item in work {
+            tokio::spawn(self.clone().send_command(item));
+        }
+        for (owner, report) in reports {
+            tokio::spawn(self.clone().send_report(owner, report));
+        }
+    }
+
+    async fn take_store_step(self: Arc<Self>, shard: u32, key: String, step: StoreStep) {
+        let store = &self.parts.store;
+        let result = match step {
+            StoreStep::Read => store.get(&key).await.map(StoreResult::Found),
+            StoreStep::Write { expected, value } => store
+                .cas(&key, expected, Some(value), None)
+                .await
+                .map(|outcome| match outcome {
+                    CasOutcome::Written(revision) => StoreResult::Written(revision),
+                    CasOutcome::Conflict(found) => StoreResult::Found(found),
+                }),
+        };
+        let result = result.unwrap_or_else(|err| {
+            tracing::warn!(shard, %err, "call for a job shard record failed");
+            match err {
+                StoreError::Unavailable(_) => StoreResult::NotDone,
+                // An answer that cannot be understood says nothing about the write.
+                StoreError::AnswerLost(_) | StoreError::Invalid(_) => StoreResult::Unknown,
+            }
+        });
+        let wall = self.wall();
+        self.jobs.lock().store_done(shard, result, wall);
+        self.changed.notify_waiters();
+        self.wake.notify_one();
+    }
+
+    async fn send_exchange(self: Arc<Self>, owner: MemberId, call: RackCall) {
+        let answer = if owner == self.parts.ownership.me() {
+            Ok(self.take_exchange(&call))
+        } else {
+            self.parts.calls.exchange(&owner, &call).await
+        };
+        match answer {
+            Ok(answer) => {
+                let wall = self.wall();
+                self.jobs.lock().rack_answered(answer, &call, wall);
+                self.wake.notify_one();
+            }
+            Err(err) => tracing::debug!(%owner, %err, "exchange with a rack owner failed"),
+        }
+    }
+
+    async fn send_report(self: Arc<Self>, owner: MemberId, report: JobReport) {
+        if owner == self.parts.ownership.me() {
+            self.take_report(report);
+        } else if let Err(err) = self.parts.calls.report(&owner, &report).await {
+            tracing::debug!(%owner, %err, "report to a job owner failed");
+        }
+    }
+
+    async fn send_command(self: Arc<Self>, work: AgentWork) {
+        let reply = self.parts.agent.send(&work.addr, work.command).await;
+        if let Err(err) = &reply {
+            tracing::debug!(worker = %work.worker, %err, "command to a worker agent failed");
+        }
+        let now = self.now();
+        let mut racks = self.racks.lock();
+        racks.agent_answered(&work.worker, work.number, reply.ok(), now);
+        self.wake.notify_one();
+    }
+
+    /// Carries out an exchange of a job owner with this rack owner.
+    pub fn take_exchange(&self, call: &RackCall) -> RackAnswer {
+        let now = self.now();
+        let mut answer = self.racks.lock().handle(call, now);
+        let mut jobs = self.jobs.lock();
+        if answer.accepted && !call.teams.is_empty() {
+            jobs.take_teams(&call.from, &call.teams);
+        }
+        answer.teams = jobs.team_report();
+        self.wake.notify_one();
+        answer
+    }
+
+    /// Takes in a report of a rack owner.
+    pub fn take_report(&self, report: JobReport) {
+        let wall = self.wall();
+        self.jobs.lock().reported(report, wall);
+        self.wake.notify_one();
+    }
+}
--- /dev/null
+++ b/src/batch/service.rs
@@ -0,0 +1,49 @@
+//! Receiving side of calls about jobs and racks between members.
+
+use async_trait::async_trait;
+use http::StatusCode;
+
+use super::calls::PEER_PATH;
+use super::node::BatchNode;
+use crate::prelude::*;
+use crate::web::{WebReq, WebRes, WebService, decode, packed, read_body, text};
+
+/// Largest message between members.
+const MAX_MESSAGE_BYTES: usize = 1 << 20;
+
+/// Serves `/peer/batch/` for other members.
+pub struct BatchService {
+    node: Arc<BatchNode>,
+}
+
+impl BatchService {
+    /// Creates a service over a node.
+    pub fn new(node: Arc<BatchNode>) -> Arc<Self> {
+        Arc::new(Self { node })
+    }
+
+    async fn answer(&self, name: &str, buf: &[u8]) -> Result<WebRes, String> {
+        Ok(match name {
+            "exchange" => packed(&self.node.take_exchange(&decode(buf)?)),
+            "report" => {
+                self.node.take_report(decode(buf)?);
+                packed(&())
+            }
+            "jobs" => packed(&self.node.take_job_call(decode(buf)?).await),
+            _ => text(StatusCode::NOT_FOUND, "no such path\n"),
+        })
+    }
+}
+
+#[async_trait(?Send)]
+impl WebService for BatchService {
+    async fn call(&self, req: WebReq) -> WebRes {
+        let path = req.uri().path().to_string();
+        let name = path.strip_prefix(PEER_PATH).unwrap_or_default();
+        let answer = match read_body(req, MAX_MESSAGE_BYTES).await {
+            Ok(buf) => self.answer(name, &buf).await,
+            Err(err) => Err(err),
+        };
+        answer.unwrap_or_else(|err| text(StatusCode::BAD_REQUEST, err))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! `docs/design.md` describes the modules and the reasons behind them.
 
+pub mod batch;
 pub mod bundle;
 pub mod error;
 pub mod ini;
 pub mod membership;
 pub mod model;
+pub mod placement;
 pub mod platform;
 pub mod prelude;
 pub mod schema;
--- /dev/null
+++ b/src/placement/budget.rs
@@ -0,0 +1,50 @@
+//! Budget of evictions.
+
+use crate::prelude::*;
+
+const MS_PER_HOUR: f64 = 3_600_000.0;
+
+/// A token bucket in which one token allows one eviction.
+#[derive(Clone, Debug)]
+pub struct EvictionBudget {
+    per_hour: f64,
+    burst: f64,
+    tokens: f64,
+    at: Millis,
+}
+
+impl EvictionBudget {
+    /// Creates a full bucket.
+    pub fn new(per_hour: f64, burst: f64, now: Millis) -> Self {
+        Self {
+            per_hour,
+            burst,
+            tokens: burst,
+            at: now,
+        }
+    }
+
+    /// Changes the limits; tokens above the new burst are lost.
+    pub fn set_limits(&mut self, per_hour: f64, burst: f64, now: Millis) {
+        self.refill(now);
+        self.per_hour = per_hour;
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
+    /// Takes a token if there is one.
+    pub fn take(&mut self, now: Millis) -> bool {
+        self.refill(now);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    fn refill(&mut self, now: Millis) {
+        let gained = now.since(self.at).0 as f64 * self.per_hour / MS_PER_HOUR;
+        self.tokens = (self.tokens + gained).min(self.burst);
+        self.at = self.at.max(now);
+    }
+}
--- /dev/null
+++ b/src/placement/free_index.rs
@@ -0,0 +1,134 @@
+//! Index of workers by free capacity, so that a decision looks at a bounded number of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::prelude::*;
+
+/// Candidates per availability zone with the least sufficient free processors.
+const TIGHT: usize = 6;
+
+/// Candidates per availability zone from random places of the index.
+const SAMPLED: usize = 6;
+
+/// Workers that are looked at when no candidate fits in every resource.
+const FALLBACK: usize = 128;
+
+/// Number of a worker in the book.
+pub type Slot = u32;
+
+#[derive(Clone, Debug, Default)]
+struct ZoneIndex {
+    by_cpu: BTreeSet<(u64, Slot)>,
+    by_accelerators: BTreeSet<(u32, Slot)>,
+}
+
+/// Workers that take new tasks, by zone and free capacity.
+#[derive(Clone, Debug, Default)]
+pub struct FreeIndex {
+    zones: BTreeMap<ZoneId, ZoneIndex>,
+    free: BTreeMap<Slot, (ZoneId, Resources)>,
+}
+
+impl FreeIndex {
+    /// Sets or removes the free capacity of a worker.
+    pub fn set(&mut self, slot: Slot, zone: &ZoneId, free: Option<Resources>) {
+        if let Some((zone, old)) = self.free.remove(&slot)
+            && let Some(index) = self.zones.get_mut(&zone)
+        {
+            index.by_cpu.remove(&(old.cpu.0, slot));
+            index.by_accelerators.remove(&(old.accelerators.0, slot));
+        }
+        let Some(free) = free else {
+            return;
+        };
+        self.free.insert(slot, (zone.clone(), free));
+        let index = self.zones.entry(zone.clone()).or_default();
+        index.by_cpu.insert((free.cpu.0, slot));
+        if free.accelerators.0 > 0 {
+            index.by_accelerators.insert((free.accelerators.0, slot));
+        }
+    }
+
+    /// Returns the number of workers.
+    pub fn len(&self) -> usize {
+        self.free.len()
+    }
+
+    /// Tells whether there are no workers.
+    pub fn is_empty(&self) -> bool {
+        self.free.is_empty()
+    }
+
+    /// Returns the sum and the largest of the free amounts.
+    pub fn summary(&self) -> (Resources, Resources) {
+        let mut sum = Resources::default();
+        let mut largest = Resources::default();
+        for (_, free) in self.free.values() {
+            sum = sum.checked_add(free).unwrap_or(sum);
+            largest.cpu = largest.cpu.max(free.cpu);
+            largest.memory = largest.memory.max(free.memory);
+            largest.accelerators = largest.accelerators.max(free.accelerators);
+        }
+        (sum, largest)
+    }
+
+    /// Lists a bounded number of workers with room for `size`; `random` varies the choice.
+    pub fn candidates(&self, size: &Resources, avoid: &[ZoneId], random: u64) -> Vec<Slot> {
+        let mut out = Vec::with_capacity((TIGHT + SAMPLED) * self.zones.len());
+        for (zone, index) in &self.zones {
+            if avoid.contains(zone) {
+                continue;
+            }
+            let before = out.len();
+            if size.accelerators.0 > 0 {
+                let fitting = index.by_accelerators.range((size.accelerators.0, 0)..);
+                out.extend(fitting.map(|(_, slot)| *slot).take(TIGHT + SAMPLED));
+            } else {
+                sample(&index.by_cpu, size.cpu.0, random, &mut out);
+            }
+            out.retain(|slot| self.has_room(*slot, size));
+            if out.len() == before {
+                let fitting = index.by_cpu.range((size.cpu.0, 0)..);
+                let fitting = fitting
+                    .map(|(_, slot)| *slot)
+                    .take(FALLBACK)
+                    .filter(|slot| self.has_room(*slot, size))
+                    .take(TIGHT);
+                out.extend(fitting);
+            }
+        }
+        out.sort_unstable();
+        out.dedup();
+        out
+    }
+
+    fn has_room(&self, slot: Slot, size: &Resources) -> bool {
+        self.free
+            .get(&slot)
+            .is_some_and(|(_, free)| size.fits(free))
+    }
+}
+
+fn sample(by_cpu: &BTreeSet<(u64, Slot)>, cpu: u64, random: u64, out: &mut Vec<Slot>) {
+    let fitting = by_cpu.range((cpu, 0)..);
+    out.extend(fitting.map(|(_, slot)| *slot).take(TIGHT));
+    let Some((most, _)) = by_cpu.last().filter(|(most, _)| *most >= cpu) else {
+        return;
+    };
+    let mut state = random;
+    for _ in 0..SAMPLED {
+        state = next_random(state);
+        let from = cpu + state % (most - cpu + 1);
+        let slot = Slot::try_from((state >> 32) % (1 << 20)).unwrap_or_default();
+        let found = by_cpu.range((from, slot)..).next();
+        out.extend(found.map(|(_, slot)| *slot));
+    }
+}
+
+/// One step of the splitmix64 generator.
+pub fn next_random(state: u64) -> u64 {
+    let state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let mixed = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! `cargo run -p schema-gen` writes these files anew.
 
+#[rustfmt::skip]
+pub mod batch;
 #[rustfmt::skip]
 pub mod bundle;
 #[rustfmt::skip]
