--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod bench;
+pub mod batch;
 pub mod bundle;
 pub mod cli;
 pub mod dev;
@@ -12,6 +13,7 @@
 pub mod ini;
 pub mod membership;
 pub mod model;
+pub mod placement;
 pub mod platform;
 pub mod prelude;
 pub mod proxy;
