--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ini;
 pub mod membership;
 pub mod model;
+pub mod peer;
 pub mod platform;
 pub mod prelude;
 pub mod schema;
--- a/src/membership/ownership.rs
+++ b/src/membership/ownership.rs
@@ -20,10 +20,13 @@
     /// Returns the local time at which this process saw the current epoch.
     fn epoch_seen_at(&self) -> Millis;
 
-    /// Returns the owner of a rack, if the region has members.
+    /// Returns the owner of a rack.
+    ///
+    /// `None` while the region has no members, or while this process is the new owner and waits
+    /// until the previous one has adopted the epoch or was removed.
     fn rack_owner(&self, rack: &RackId) -> Option<MemberId>;
 
-    /// Returns the owner of a job shard, if the region has members.
+    /// Returns the owner of a job shard, under the same condition as that of a rack.
     fn shard_owner(&self, shard: u32) -> Option<MemberId>;
 
     /// Returns the members that hold an idempotency key, home first, then its backup.
--- /dev/null
+++ b/src/peer/loops.rs
@@ -0,0 +1,59 @@
+//! The loops of a node.
+
+use std::time::Duration;
+
+use super::MemberNode;
+use super::news::publish;
+use crate::membership::Input;
+use crate::prelude::*;
+
+/// Resolution of the node's timers.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Members up to which each one reads the VM list at the configured interval.
+const SMALL_REGION: u64 = 8;
+
+impl MemberNode {
+    pub(super) fn spawn_loops(self: &Arc<Self>) {
+        let node = self.clone();
+        self.spawn(async move { node.run_ticks().await });
+        let node = self.clone();
+        self.spawn(async move { node.run_vm_reads().await });
+    }
+
+    async fn run_ticks(self: &Arc<Self>) {
+        let mut timer = tokio::time::interval(TICK);
+        timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            timer.tick().await;
+            self.step(Input::Tick);
+            let epoch = self.state.lock().epoch();
+            self.step(Input::InUse(epoch, self.local.in_use()));
+            self.publish_vms();
+            let peers = self.peers.lock().clone();
+            publish(&self.news.peers, peers);
+        }
+    }
+
+    async fn run_vm_reads(self: &Arc<Self>) {
+        loop {
+            match self.vm_list.list().await {
+                Ok(vms) => {
+                    self.step(Input::VmsRead(vms));
+                    self.publish_vms();
+                }
+                Err(err) => tracing::debug!(%err, "VM list cannot be read"),
+            }
+            tokio::time::sleep(self.vms_interval().into()).await;
+        }
+    }
+
+    /// Returns the interval between reads of the VM list.
+    ///
+    /// Members of a large region share the reads and tell each other of leaving endpoints.
+    fn vms_interval(&self) -> Millis {
+        let members = self.news.view.borrow().members.len() as u64;
+        let share = members.div_ceil(SMALL_REGION).max(1);
+        Millis(self.config.vms_poll.0.saturating_mul(share))
+    }
+}
--- /dev/null
+++ b/src/peer/node.rs
@@ -0,0 +1,248 @@
+//! One entry process as a member of its region.
+
+use std::collections::BTreeMap;
+
+use parking_lot::Mutex;
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::news::{News, publish};
+use super::{LocalState, PeerNews, ViewNews, VmNews};
+use crate::membership::{Input, Membership, Output, Timing};
+use crate::platform::{Store, VmList};
+use crate::prelude::*;
+use crate::schema::peer::{Heartbeat, Member, MemberRecord};
+use crate::web::Caller;
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct NodeConfig {
+    /// This process; its id must be new in each run.
+    pub me: Member,
+    /// Its region.
+    pub region: RegionId,
+    /// Interval between reads of the VM list in a small region.
+    pub vms_poll: Millis,
+    /// Spans of the membership rules.
+    pub timing: Timing,
+}
+
+/// Runs a `Membership` against the store, the VM list and the peers.
+pub struct MemberNode {
+    pub(super) config: NodeConfig,
+    pub(super) store: Arc<dyn Store>,
+    pub(super) vm_list: Arc<dyn VmList>,
+    pub(super) caller: Caller,
+    pub(super) local: Arc<dyn LocalState>,
+    pub(super) state: Mutex<Membership>,
+    pub(super) peers: Mutex<BTreeMap<MemberId, PeerNews>>,
+    pub(super) news: News,
+    pub(super) cancel: CancellationToken,
+    pub(super) left: CancellationToken,
+    pub(super) fetching: Mutex<bool>,
+    runtime: Handle,
+    started: Instant,
+}
+
+impl MemberNode {
+    /// Starts the loops of a node; they end when `cancel` fires.
+    ///
+    /// Must be called within a runtime. The caller serves the node at `/peer/`.
+    pub fn start(
+        config: NodeConfig,
+        store: Arc<dyn Store>,
+        vm_list: Arc<dyn VmList>,
+        caller: Caller,
+        local: Arc<dyn LocalState>,
+        cancel: CancellationToken,
+    ) -> Arc<Self> {
+        let state = Membership::new(config.me.clone(), config.region.clone(), config.timing);
+        let node = Arc::new(Self {
+            config,
+            store,
+            vm_list,
+            caller,
+            local,
+            state: Mutex::new(state),
+            peers: Mutex::default(),
+            news: News::default(),
+            cancel,
+            left: CancellationToken::new(),
+            fetching: Mutex::new(false),
+            runtime: Handle::current(),
+            started: Instant::now(),
+        });
+        node.spawn_loops();
+        node
+    }
+
+    /// Returns the time of this node's clock, to which all its `Millis` refer.
+    pub fn now(&self) -> Millis {
+        self.started.elapsed().into()
+    }
+
+    /// Watches the VM list and the endpoints that are leaving.
+    pub fn watch_vms(&self) -> watch::Receiver<Arc<VmNews>> {
+        self.news.vms.subscribe()
+    }
+
+    /// Watches the member view.
+    pub fn watch_view(&self) -> watch::Receiver<Arc<ViewNews>> {
+        self.news.view.subscribe()
+    }
+
+    /// Watches the usable slots by endpoint; empty while this process is not active.
+    ///
+    /// A dispatcher must look at the newest value for each request that it starts.
+    pub fn watch_slots(&self) -> watch::Receiver<Arc<BTreeMap<VmId, u32>>> {
+        self.news.slots.subscribe()
+    }
+
+    /// Watches what the peers say about themselves.
+    pub fn watch_peers(&self) -> watch::Receiver<Arc<BTreeMap<MemberId, PeerNews>>> {
+        self.news.peers.subscribe()
+    }
+
+    /// Returns the slots of an endpoint that this process may use at this moment.
+    pub fn usable_slots(&self, vm: &VmId) -> u32 {
+        self.state.lock().usable_slots(vm, self.now())
+    }
+
+    /// Tells whether this process is one of the members that hold a watch on the store.
+    pub fn is_watcher(&self) -> bool {
+        self.state.lock().is_watcher()
+    }
+
+    /// Notes that an endpoint announced its leaving; peers are told at once.
+    pub fn note_leaving(self: &Arc<Self>, vm: &VmId) {
+        self.step(Input::Leaving(vm.clone()));
+    }
+
+    /// Leaves the member record once no request is in progress; returns whether it has left.
+    pub async fn leave(self: &Arc<Self>, patience: Millis) -> bool {
+        self.step(Input::Leave);
+        tokio::time::timeout(patience.into(), self.left.cancelled())
+            .await
+            .is_ok()
+    }
+
+    /// Feeds the machine, publishes what changed and carries out what it asks for.
+    pub(super) fn step(self: &Arc<Self>, input: Input) {
+        let outputs = {
+            let mut state = self.state.lock();
+            let outputs = state.step(input, self.now());
+            self.publish(&mut state);
+            outputs
+        };
+        for output in outputs {
+            self.carry_out(output);
+        }
+    }
+
+    /// Answers a heartbeat of a peer.
+    pub(super) fn receive(self: &Arc<Self>, beat: &Heartbeat) -> Heartbeat {
+        let mut answer = {
+            let mut state = self.state.lock();
+            let answer = state.receive(beat, self.now());
+            self.publish(&mut state);
+            answer
+        };
+        self.fill(&mut answer);
+        self.note_peer(beat);
+        answer
+    }
+
+    /// Adds what other modules know to a heartbeat.
+    pub(super) fn fill(&self, beat: &mut Heartbeat) {
+        beat.bundle = self.local.bundle_version();
+        beat.loads = self.local.loads();
+        beat.digests = self.local.digests();
+    }
+
+    /// Takes over what a peer says about itself, and fetches its bundle if that is newer.
+    pub(super) fn note_peer(self: &Arc<Self>, beat: &Heartbeat) {
+        let news = PeerNews {
+            heard: self.now(),
+            bundle: beat.bundle,
+            loads: beat.loads.clone(),
+        };
+        self.peers.lock().insert(beat.member.clone(), news);
+        self.local.take_digests(&beat.member, &beat.digests);
+        if beat.bundle > self.local.bundle_version() {
+            let address = self.state.lock().address_of(&beat.member);
+            if let Some(address) = address {
+                self.fetch_bundle(address);
+            }
+        }
+    }
+
+    /// Publishes under the lock of the machine, so that slots never lag behind a drained epoch.
+    fn publish(&self, state: &mut Membership) {
+        let now = self.now();
+        let active = state.is_active(now);
+        for change in state.take_slot_changes() {
+            tracing::trace!(vm = %change.vm, before = change.before, after = change.after, "slots");
+        }
+        let slots = &self.news.slots;
+        let empty = BTreeMap::new();
+        let usable = if active { state.slots() } else { &empty };
+        if **slots.borrow() != *usable {
+            slots.send_replace(Arc::new(usable.clone()));
+        }
+        let view = ViewNews {
+            epoch: state.epoch(),
+            members: state.table().map_or(Vec::new(), |t| t.members().to_vec()),
+            silent: state.silent(now),
+            active,
+            store_silent: state.is_store_silent(),
+        };
+        publish(&self.news.view, view);
+    }
+
+    /// Publishes the VM list; done less often, because it is large.
+    pub(super) fn publish_vms(&self) {
+        let state = self.state.lock();
+        let news = VmNews {
+            vms: state.vms().vms().values().cloned().collect(),
+            leaving: state.vms().leaving(),
+        };
+        publish(&self.news.vms, news);
+    }
+
+    fn carry_out(self: &Arc<Self>, output: Output) {
+        let node = self.clone();
+        match output {
+            Output::Adopted(epoch) => tracing::info!(%epoch, "adopted member epoch"),
+            Output::Removed(epoch) => tracing::warn!(%epoch, "removed from the member record"),
+            Output::Left => self.left.cancel(),
+            Output::CreateLease => self.spawn(async move { node.step(node.create_lease().await) }),
+            Output::RenewLease => self.spawn(async move { node.step(node.renew_lease().await) }),
+            Output::ReadRecord { leave } => {
+                self.spawn(async move { node.step(node.read_record(leave).await) });
+            }
+            Output::WriteRecord(revision, record) => {
+                self.spawn(async move { node.step(node.write_record(revision, &record).await) })
+            }
+            Output::SendHeartbeat(address, beat) => {
+                self.spawn(async move { node.send_heartbeat(&address, beat).await });
+            }
+            Output::ExchangeView(address) => {
+                let record = self.record();
+                self.spawn(async move { node.exchange_view(&address, record).await });
+            }
+        }
+    }
+
+    pub(super) fn record(&self) -> Option<MemberRecord> {
+        let state = self.state.lock();
+        state.table().map(|table| table.record().clone())
+    }
+
+    pub(super) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let cancel = self.cancel.clone();
+        self.runtime.spawn(async move {
+            cancel.run_until_cancelled_owned(task).await;
+        });
+    }
+}
--- /dev/null
+++ b/src/peer/owner.rs
@@ -0,0 +1,46 @@
+//! Answers of a node about ownership.
+
+use super::MemberNode;
+use crate::membership::{Domain, Membership, Ownership};
+use crate::prelude::*;
+
+impl Ownership for MemberNode {
+    fn me(&self) -> MemberId {
+        self.config.me.id.clone()
+    }
+
+    fn epoch(&self) -> Epoch {
+        self.state.lock().epoch()
+    }
+
+    fn is_active(&self) -> bool {
+        self.state.lock().is_active(self.now())
+    }
+
+    fn epoch_seen_at(&self) -> Millis {
+        self.state.lock().adopted_at()
+    }
+
+    fn rack_owner(&self, rack: &RackId) -> Option<MemberId> {
+        entitled_owner(&self.state.lock(), Domain::Rack, rack.as_str())
+    }
+
+    fn shard_owner(&self, shard: u32) -> Option<MemberId> {
+        entitled_owner(&self.state.lock(), Domain::Shard, &shard.to_string())
+    }
+
+    fn key_holders(&self, key: &str) -> Vec<MemberId> {
+        self.state.lock().key_holders(key)
+    }
+
+    fn peer_addr(&self, member: &MemberId) -> Option<String> {
+        self.state.lock().address_of(member)
+    }
+}
+
+/// Returns the owner, or `None` while this process waits for the previous one to let go.
+fn entitled_owner(state: &Membership, domain: Domain, name: &str) -> Option<MemberId> {
+    let owner = state.view()?.owner(domain, name)?;
+    let waits = *owner == state.me().id && !state.is_entitled(domain, name);
+    (!waits).then(|| owner.clone())
+}
--- /dev/null
+++ b/src/peer/store_calls.rs
@@ -0,0 +1,134 @@
+//! The store calls of a node.
+
+use std::time::Duration;
+
+use super::MemberNode;
+use crate::membership::Input;
+use crate::platform::{CasOutcome, Expected};
+use crate::prelude::*;
+use crate::schema::peer::{Member, MemberRecord};
+use crate::web::{decode, encode};
+
+/// Longest wait for one call; an adapter with a shorter timeout answers earlier.
+const TIMEOUT: Duration = Duration::from_millis(1000);
+
+impl MemberNode {
+    pub(super) async fn create_lease(&self) -> Input {
+        let sent = self.now();
+        match self.try_create_lease().await {
+            Ok(true) => Input::LeaseKept(sent),
+            Ok(false) | Err(_) => Input::LeaseFailed,
+        }
+    }
+
+    async fn try_create_lease(&self) -> Result<bool, StoreError> {
+        let key = self.entry_key();
+        let ttl = self.config.timing.lease_ttl;
+        if !timed(self.store.keep_lease(&key, ttl, true)).await? {
+            return Ok(false);
+        }
+        let value = encode(&self.config.me).map_err(StoreError::Invalid)?;
+        let written = self
+            .store
+            .cas(&key, Expected::Absent, Some(value.clone()), Some(&key));
+        Ok(match timed(written).await? {
+            CasOutcome::Written(_) => true,
+            CasOutcome::Conflict(found) => found.is_some_and(|found| found.value == value),
+        })
+    }
+
+    pub(super) async fn renew_lease(&self) -> Input {
+        let sent = self.now();
+        let ttl = self.config.timing.lease_ttl;
+        let key = self.entry_key();
+        match timed(self.store.keep_lease(&key, ttl, false)).await {
+            Ok(true) => Input::LeaseKept(sent),
+            Ok(false) => Input::LeaseLapsed,
+            Err(_) => Input::LeaseFailed,
+        }
+    }
+
+    pub(super) async fn read_record(&self, leave: bool) -> Input {
+        let started = self.now();
+        match self.try_read_record(leave).await {
+            Ok((record, entries)) => Input::RecordRead {
+                started,
+                record,
+                entries,
+            },
+            Err(err) => {
+                tracing::debug!(%err, "member record cannot be read");
+                Input::RecordFailed
+            }
+        }
+    }
+
+    async fn try_read_record(
+        &self,
+        leave: bool,
+    ) -> Result<(Option<(MemberRecord, Revision)>, Vec<Member>), StoreError> {
+        if leave {
+            self.delete_entry().await?;
+        }
+        let record = match timed(self.store.get(&self.record_key())).await? {
+            Some(found) => Some((
+                decode(&found.value).map_err(StoreError::Invalid)?,
+                found.revision,
+            )),
+            None => None,
+        };
+        let prefix = format!("entry/{}/", self.config.region);
+        let entries = timed(self.store.list(&prefix))
+            .await?
+            .iter()
+            .filter_map(|entry| decode(&entry.value).ok())
+            .collect();
+        Ok((record, entries))
+    }
+
+    async fn delete_entry(&self) -> Result<(), StoreError> {
+        let key = self.entry_key();
+        if let Some(entry) = timed(self.store.get(&key)).await? {
+            timed(
+                self.store
+                    .cas(&key, Expected::At(entry.revision), None, None),
+            )
+            .await?;
+        }
+        Ok(())
+    }
+
+    pub(super) async fn write_record(
+        &self,
+        revision: Option<Revision>,
+        record: &MemberRecord,
+    ) -> Input {
+        let expected = revision.map_or(Expected::Absent, Expected::At);
+        let Ok(value) = encode(record) else {
+            return Input::RecordFailed;
+        };
+        let key = self.record_key();
+        match timed(self.store.cas(&key, expected, Some(value), None)).await {
+            Ok(CasOutcome::Written(_)) => Input::RecordWritten,
+            Ok(CasOutcome::Conflict(found)) => {
+                Input::RecordConflict(found.and_then(|found| decode(&found.value).ok()))
+            }
+            Err(StoreError::Unavailable(_)) => Input::RecordFailed,
+            Err(StoreError::AnswerLost(_) | StoreError::Invalid(_)) => Input::WriteLost,
+        }
+    }
+
+    fn entry_key(&self) -> String {
+        format!("entry/{}/{}", self.config.region, self.config.me.id)
+    }
+
+    fn record_key(&self) -> String {
+        format!("members/{}", self.config.region)
+    }
+}
+
+async fn timed<T>(call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
+    tokio::time::timeout(TIMEOUT, call)
+        .await
+        .unwrap_or_else(|_| Err(StoreError::AnswerLost("no answer in time".to_string())))
+}
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -5,6 +5,8 @@
 #[rustfmt::skip]
 pub mod bundle;
 #[rustfmt::skip]
+pub mod peer;
+#[rustfmt::skip]
 pub mod settings;
 #[rustfmt::skip]
 pub mod vm;
--- a/src/web/caller.rs
+++ b/src/web/caller.rs
@@ -56,16 +56,30 @@
             reason,
         };
         let body = encode(message).map_err(codec)?;
+        let answer = self.post(addr, path, body, timeout).await?;
+        decode(&answer).map_err(codec)
+    }
+
+    /// Posts `body` to `path` at `addr` and returns the body of the answer.
+    pub async fn post(
+        &self,
+        addr: &str,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Millis,
+    ) -> Result<Bytes, CallError> {
         let req = Request::post(format!("http://{addr}{path}"))
             .body(Full::new(Bytes::from(body)))
-            .map_err(|err| codec(err.to_string()))?;
-        let answer = tokio::time::timeout(timeout.into(), self.send(addr, req))
+            .map_err(|err| CallError::Codec {
+                addr: addr.to_string(),
+                reason: err.to_string(),
+            })?;
+        tokio::time::timeout(timeout.into(), self.send(addr, req))
             .await
             .map_err(|_| CallError::Broken {
                 addr: addr.to_string(),
                 reason: format!("no answer within {timeout} ms"),
-            })??;
-        decode(&answer).map_err(codec)
+            })?
     }
 
     async fn send(&self, addr: &str, req: Request<Full<Bytes>>) -> Result<Bytes, CallError> {
