--- a/src/peer/news.rs
+++ b/src/peer/news.rs
@@ -44,7 +44,7 @@
 }
 
 /// The published values; every receiver sees the newest one.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct News {
     pub vms: watch::Sender<Arc<VmNews>>,
     pub view: watch::Sender<Arc<ViewNews>>,
@@ -52,17 +52,6 @@
     pub peers: watch::Sender<Arc<BTreeMap<MemberId, PeerNews>>>,
 }
 
-impl Default for News {
-    fn default() -> Self {
-        Self {
-            vms: watch::Sender::default(),
-            view: watch::Sender::default(),
-            slots: watch::Sender::default(),
-            peers: watch::Sender::default(),
-        }
-    }
-}
-
 /// Publishes a value if it differs from the last one.
 pub(super) fn publish<T: PartialEq>(sender: &watch::Sender<Arc<T>>, next: T) {
     sender.send_if_modified(|held| {
