--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod membership;
 pub mod model;
 pub mod placement;
+pub mod peer;
 pub mod platform;
 pub mod prelude;
 pub mod proxy;
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -8,6 +8,7 @@
 pub mod bundle;
 #[rustfmt::skip]
 pub mod dedup;
+pub mod peer;
 #[rustfmt::skip]
 pub mod settings;
 #[rustfmt::skip]
