--- /dev/null
+++ b/src/audit/chain.rs
@@ -0,0 +1,170 @@
+//! Hash chain over the entries of the audit trail.
+
+use sha2::{Digest as _, Sha256};
+
+use super::AuditDraft;
+use crate::prelude::*;
+use crate::schema::config::{AuditEntry, AuditFault, AuditSegment};
+
+/// Entries of a full segment; at most 1.3 KB each keep the record under 1 MB.
+pub const SEGMENT_ENTRIES: usize = 512;
+
+/// Full segments that are kept: 36 days of 10,000 entries, five for each of 2,000 changes a day.
+pub const KEPT_SEGMENTS: u64 = 704;
+
+/// Longest subject and detail of an entry, in bytes.
+const MAX_TEXT_BYTES: usize = 400;
+
+/// Start of the bytes that are hashed.
+const DOMAIN: &[u8] = b"sapphirecroft audit 1\n";
+
+impl AuditSegment {
+    /// Starts an empty trail.
+    pub(super) fn first(writer: WriterToken) -> Self {
+        Self {
+            writer,
+            number: 0,
+            oldest: 0,
+            anchor: Digest::default(),
+            entries: Vec::new(),
+        }
+    }
+
+    /// Starts the segment after this one.
+    pub(super) fn following(&self, writer: WriterToken) -> Self {
+        let number = self.number + 1;
+        Self {
+            writer,
+            number,
+            oldest: oldest_kept(number),
+            anchor: self.head(),
+            entries: Vec::new(),
+        }
+    }
+
+    pub(super) fn is_full(&self) -> bool {
+        self.entries.len() >= SEGMENT_ENTRIES
+    }
+
+    /// Returns the hash of the newest entry.
+    pub(super) fn head(&self) -> Digest {
+        self.entries.last().map_or(self.anchor, |entry| entry.hash)
+    }
+
+    /// Returns the position of the first entry that the segment can hold.
+    pub(super) fn first_seq(&self) -> u64 {
+        first_seq(self.number)
+    }
+
+    /// Returns the position of the newest entry of the trail up to this segment.
+    pub(super) fn last_seq(&self) -> u64 {
+        self.first_seq() - 1 + self.entries.len() as u64
+    }
+
+    /// Adds an entry.
+    pub(super) fn push(&mut self, draft: &AuditDraft, at: Timestamp, writer: &WriterToken) {
+        let mut entry = AuditEntry {
+            seq: self.last_seq() + 1,
+            at,
+            who: draft.who.clone(),
+            action: draft.action,
+            subject: cut(&draft.subject),
+            version: draft.version,
+            outcome: draft.outcome,
+            detail: cut(&draft.detail),
+            writer: writer.clone(),
+            previous: self.head(),
+            hash: Digest::default(),
+        };
+        entry.hash = hash(&entry);
+        self.entries.push(entry);
+    }
+
+    /// Checks numbering and hashes, starting from the hash before the segment if it is known.
+    pub(super) fn check(&self, before: Option<Digest>) -> Vec<AuditFault> {
+        let mut faults = Vec::new();
+        let mut fault = |seq, message: &str| {
+            faults.push(AuditFault {
+                seq,
+                message: message.to_string(),
+            });
+        };
+        let mut previous = self.anchor;
+        if before.is_some_and(|before| before != self.anchor) {
+            fault(
+                self.first_seq(),
+                "segment does not continue the one before it",
+            );
+        }
+        for (expected, entry) in (self.first_seq()..).zip(&self.entries) {
+            if entry.seq != expected {
+                fault(expected, "entry is missing or out of order");
+            }
+            if entry.previous != previous {
+                fault(expected, "entry does not continue the one before it");
+            }
+            if hash(entry) != entry.hash {
+                fault(expected, "entry was edited");
+            }
+            previous = entry.hash;
+        }
+        if self.entries.len() > SEGMENT_ENTRIES {
+            fault(self.last_seq(), "segment is too long");
+        }
+        faults
+    }
+}
+
+/// Returns the number of the segment that holds a position.
+pub(super) fn segment_of(seq: u64) -> u64 {
+    seq.saturating_sub(1) / SEGMENT_ENTRIES as u64
+}
+
+/// Returns the first position of a segment.
+pub(super) fn first_seq(number: u64) -> u64 {
+    number.saturating_mul(SEGMENT_ENTRIES as u64) + 1
+}
+
+/// Returns the oldest segment that is kept while segment `number` grows.
+pub(super) fn oldest_kept(number: u64) -> u64 {
+    number.saturating_sub(KEPT_SEGMENTS)
+}
+
+/// Hashes every field but the hash itself, each with its length.
+fn hash(entry: &AuditEntry) -> Digest {
+    let mut hasher = Sha256::new();
+    hasher.update(DOMAIN);
+    let version = entry
+        .version
+        .map_or_else(String::new, |version| version.to_string());
+    let action = entry.action.to_string();
+    let outcome = entry.outcome.to_string();
+    let seq = entry.seq.to_be_bytes();
+    let at = entry.at.get().to_be_bytes();
+    let fields: [&[u8]; 10] = [
+        &seq,
+        &at,
+        entry.who.as_str().as_bytes(),
+        action.as_bytes(),
+        entry.subject.as_bytes(),
+        version.as_bytes(),
+        outcome.as_bytes(),
+        entry.detail.as_bytes(),
+        entry.writer.as_str().as_bytes(),
+        &entry.previous.0,
+    ];
+    for field in fields {
+        hasher.update((field.len() as u64).to_be_bytes());
+        hasher.update(field);
+    }
+    Digest(hasher.finalize().into())
+}
+
+/// Cuts a text to the length that an entry may have.
+fn cut(text: &str) -> String {
+    let end = (0..=MAX_TEXT_BYTES.min(text.len()))
+        .rev()
+        .find(|end| text.is_char_boundary(*end))
+        .unwrap_or(0);
+    text.get(..end).unwrap_or_default().to_string()
+}
--- a/src/bundle/mod.rs
+++ b/src/bundle/mod.rs
@@ -2,6 +2,14 @@
 
 mod active;
 mod check;
+mod diff;
+mod proposal;
+mod release;
+mod ring;
+mod signing;
 
 pub use active::{ActiveBundle, BundleInForce};
 pub use check::{CheckedBundle, MAX_BUNDLE_BYTES, check_bundle, parse_bundle};
+pub use diff::diff_bundles;
+pub use ring::{Trust, sign_ring};
+pub use signing::{PrivateKey, SignOffSubject, digest_of, key_id, verify};
--- a/src/error.rs
+++ b/src/error.rs
@@ -2,6 +2,9 @@
 
 use thiserror::Error;
 
+use crate::ini::Faults;
+use crate::model::{OperatorId, Timestamp, Version};
+
 /// A value that is not a valid identifier or number.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum ModelError {
@@ -13,6 +16,16 @@
         /// The rejected text.
         text: String,
     },
+    /// Text that is not hexadecimal or has the wrong length.
+    ///
+    /// The text itself is left out, because it may be a secret in the wrong place.
+    #[error("value is not a valid {kind}: use {digits} hexadecimal digits")]
+    Hex {
+        /// Name of the type.
+        kind: &'static str,
+        /// Number of digits.
+        digits: usize,
+    },
     /// Text that is not a number of the expected range.
     #[error("{text:?} is not a valid {kind}")]
     Number {
@@ -110,3 +123,76 @@
         }
     }
 }
+
+/// Why a change to the bundle, the key ring or the audit trail did not happen.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum BundleError {
+    /// The text of a bundle has faults.
+    #[error("bundle has faults:\n{0}")]
+    Invalid(Faults),
+    /// The request itself is wrong.
+    #[error("{0}")]
+    BadInput(String),
+    /// The operator may not do this.
+    #[error("{0}")]
+    Forbidden(String),
+    /// Nothing with this name exists.
+    #[error("{0} does not exist")]
+    NotFound(String),
+    /// The rules of sign-off and roll-out do not allow it.
+    #[error("{0}")]
+    Refused(String),
+    /// Another change came first; nothing was changed.
+    #[error("conflict with {0}; nothing was changed")]
+    Conflict(OtherChange),
+    /// A record fails verification.
+    #[error("record is not trusted: {0}")]
+    Untrusted(String),
+    /// A stored record cannot be understood.
+    #[error("stored record {key} is invalid: {reason}")]
+    BadRecord {
+        /// Key of the record.
+        key: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// The store certainly did not carry out the change.
+    #[error("nothing was changed: {0}")]
+    Unavailable(String),
+    /// The store may have carried out the change.
+    #[error("outcome is unknown, read {key} before trying again: {reason}")]
+    Unknown {
+        /// Key of the record that shows the outcome.
+        key: String,
+        /// What went wrong.
+        reason: String,
+    },
+}
+
+/// The change that another operator made first.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OtherChange {
+    /// Who made it.
+    pub who: OperatorId,
+    /// What was changed.
+    pub what: String,
+    /// When it was made.
+    pub at: Timestamp,
+    /// Bundle version in force with it.
+    pub version: Version,
+}
+
+impl std::fmt::Display for OtherChange {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            who,
+            what,
+            at,
+            version,
+        } = self;
+        write!(
+            f,
+            "{what} by {who} at {at} ms since 1970 (version {version} in force)"
+        )
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! `docs/design.md` describes the modules and the reasons behind them.
 
+pub mod audit;
 pub mod bundle;
 pub mod cli;
 pub mod error;
@@ -10,6 +11,7 @@
 pub mod model;
 pub mod platform;
 pub mod prelude;
+pub mod records;
 pub mod schema;
 pub mod settings;
 pub mod standin;
--- a/src/model/ids.rs
+++ b/src/model/ids.rs
@@ -54,3 +54,15 @@
     /// Identifies one write, so that a lost answer can be resolved by reading the record.
     WriterToken
 );
+text_id!(
+    /// A person who changes the configuration or watches over the system.
+    OperatorId
+);
+text_id!(
+    /// A proposed bundle.
+    ProposalId
+);
+text_id!(
+    /// A public key, named by the start of its digest.
+    KeyId
+);
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -1,6 +1,7 @@
 //! Identifiers, sizes and points in time used by every other module.
 
 mod address;
+mod hex_bytes;
 mod ids;
 mod millis;
 mod newtype;
@@ -8,10 +9,13 @@
 mod units;
 
 pub use address::Address;
+pub use hex_bytes::{Digest, PublicKey, Signature};
 pub use ids::{
-    CheckpointId, ClassName, JobId, MemberId, RackId, RegionId, ServiceId, SiteId, TaskId, TeamId,
-    VmId, WriterToken, ZoneId,
+    CheckpointId, ClassName, JobId, KeyId, MemberId, OperatorId, ProposalId, RackId, RegionId,
+    ServiceId, SiteId, TaskId, TeamId, VmId, WriterToken, ZoneId,
 };
 pub use millis::Millis;
 pub use resources::Resources;
-pub use units::{Accelerators, Attempt, Epoch, Mebibytes, Millicores, Permille, Revision, Version};
+pub use units::{
+    Accelerators, Attempt, Epoch, Mebibytes, Millicores, Permille, Revision, Timestamp, Version,
+};
--- a/src/model/newtype.rs
+++ b/src/model/newtype.rs
@@ -105,6 +105,65 @@
     };
 }
 
+/// Declares bytes of a fixed length that are written as lower-case hexadecimal text.
+macro_rules! hex_bytes {
+    ($(#[$doc:meta])* $name:ident, $len:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(serde::Serialize, serde::Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(pub [u8; $len]);
+
+        impl Default for $name {
+            fn default() -> Self {
+                Self([0; $len])
+            }
+        }
+
+        impl std::fmt::Debug for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                write!(f, "{}({self})", stringify!($name))
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str(&hex::encode(self.0))
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = crate::error::ModelError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                let mut bytes = [0; $len];
+                hex::decode_to_slice(text, &mut bytes).map_err(|_| {
+                    crate::error::ModelError::Hex {
+                        kind: stringify!($name),
+                        digits: 2 * $len,
+                    }
+                })?;
+                Ok(Self(bytes))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = crate::error::ModelError;
+
+            fn try_from(text: String) -> Result<Self, Self::Error> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(value: $name) -> Self {
+                value.to_string()
+            }
+        }
+    };
+}
+
+pub(crate) use hex_bytes;
 pub(crate) use number;
 pub(crate) use text_id;
 
--- a/src/model/units.rs
+++ b/src/model/units.rs
@@ -42,3 +42,8 @@
     Attempt,
     u32
 );
+number!(
+    /// A point in time, in milliseconds since the Unix epoch; for records only, never for decisions.
+    Timestamp,
+    u64
+);
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -4,5 +4,7 @@
 
 pub use tokio_util::sync::CancellationToken;
 
-pub use crate::error::{CallError, ModelError, PlatformError, StoreError};
+pub use crate::error::{
+    BundleError, CallError, ModelError, OtherChange, PlatformError, StoreError,
+};
 pub use crate::model::*;
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -5,6 +5,8 @@
 #[rustfmt::skip]
 pub mod bundle;
 #[rustfmt::skip]
+pub mod config;
+#[rustfmt::skip]
 pub mod settings;
 #[rustfmt::skip]
 pub mod vm;
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -190,12 +190,28 @@
     pub log: LogSettings,
     pub node: NodeSettings,
     pub platform: PlatformSettings,
+    pub trust: TrustSettings,
 }
 impl ::std::convert::From<&Settings> for Settings {
     fn from(value: &Settings) -> Self {
         value.clone()
     }
 }
+///Whose bundles this process accepts.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct TrustSettings {
+    ///Public keys that may sign the key ring, in hexadecimal.
+    pub root_keys: ::std::vec::Vec<crate::model::PublicKey>,
+    ///Site whose bundle this process runs.
+    pub site: crate::model::SiteId,
+}
+impl ::std::convert::From<&TrustSettings> for TrustSettings {
+    fn from(value: &TrustSettings) -> Self {
+        value.clone()
+    }
+}
 /// Generation of default values for serde.
 pub mod defaults {
     pub(super) fn log_settings_format() -> super::LogFormat {
