--- /dev/null
+++ b/src/bundle/keeper.rs
@@ -0,0 +1,236 @@
+//! Keeps the bundle in force up to date from the store and from peers.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use parking_lot::RwLock;
+use tokio::sync::{Notify, watch};
+
+use super::{ActiveBundle, BundleInForce, Trust};
+use crate::platform::Store;
+use crate::prelude::*;
+use crate::records::CURRENT;
+use crate::schema::config::{CurrentRecord, KeyRing};
+use crate::web::{decode, encode};
+
+/// Longest wait of one watch; a read follows it, so a lost notification costs no more than this.
+const WATCH_WAIT: Millis = Millis::from_secs(5);
+
+/// Interval at which processes that do not watch read the record, in case peers do not answer.
+const POLL_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Wait after a failed call of the store.
+const RETRY_WAIT: Duration = Duration::from_secs(1);
+
+/// Largest record of a peer; the store holds no more either.
+const MAX_RECORD_BYTES: usize = 1 << 20;
+
+#[derive(Default)]
+struct Kept {
+    record: Option<CurrentRecord>,
+    ring: Option<KeyRing>,
+}
+
+/// Verifies records of `bundle/current` and puts newer bundles in force.
+///
+/// A record carries the key ring that verifies it, and the ring is signed by a root key from the
+/// settings. A process that starts while the store is down can therefore trust what a peer sends.
+pub struct BundleKeeper {
+    trust: Trust,
+    active: Arc<ActiveBundle>,
+    kept: RwLock<Kept>,
+    is_watcher: AtomicBool,
+    role_changed: Notify,
+    versions: watch::Sender<Version>,
+}
+
+impl BundleKeeper {
+    /// Starts without a bundle.
+    pub fn new(trust: Trust, active: Arc<ActiveBundle>) -> Self {
+        Self {
+            trust,
+            active,
+            kept: RwLock::default(),
+            is_watcher: AtomicBool::new(false),
+            role_changed: Notify::new(),
+            versions: watch::channel(Version(0)).0,
+        }
+    }
+
+    /// Returns the bundle in force.
+    pub fn active(&self) -> &Arc<ActiveBundle> {
+        &self.active
+    }
+
+    /// Returns the version in force; zero before the first bundle.
+    pub fn newest(&self) -> Version {
+        self.active.version()
+    }
+
+    /// Returns the serial of the newest key ring; zero before the first one.
+    pub fn newest_ring(&self) -> u64 {
+        self.kept.read().ring.as_ref().map_or(0, |ring| ring.serial)
+    }
+
+    /// Returns the newest key ring.
+    pub fn ring(&self) -> Option<KeyRing> {
+        self.kept.read().ring.clone()
+    }
+
+    /// Tells of every version that comes in force.
+    pub fn subscribe(&self) -> watch::Receiver<Version> {
+        self.versions.subscribe()
+    }
+
+    /// Returns the signed record for a peer.
+    pub fn export(&self) -> Option<Vec<u8>> {
+        self.kept
+            .read()
+            .record
+            .as_ref()
+            .and_then(|record| encode(record).ok())
+    }
+
+    /// Verifies a record; tells whether it brought a newer bundle or key ring.
+    pub fn offer(&self, record: &[u8]) -> Result<bool, BundleError> {
+        if record.len() > MAX_RECORD_BYTES {
+            return Err(untrusted("record is too long"));
+        }
+        let record: CurrentRecord = decode(record).map_err(|err| untrusted(&err))?;
+        self.accept(record)
+    }
+
+    /// Makes this process one of the few that watch the store, or no longer one.
+    pub fn set_watcher(&self, watcher: bool) {
+        self.is_watcher.store(watcher, Ordering::Relaxed);
+        self.role_changed.notify_one();
+    }
+
+    /// Follows the store until `cancel` fires.
+    pub async fn run(&self, store: Arc<dyn Store>, cancel: CancellationToken) {
+        tokio::select! {
+            () = cancel.cancelled() => {}
+            () = self.follow(store.as_ref()) => {}
+        }
+    }
+
+    /// Reads the record once and puts it in force if it is newer.
+    pub async fn refresh(&self, store: &dyn Store) -> Result<Revision, BundleError> {
+        let found = store
+            .get(CURRENT)
+            .await
+            .map_err(|err| BundleError::Unavailable(err.to_string()))?;
+        let Some(found) = found else {
+            return Ok(Revision(0));
+        };
+        self.offer(&found.value)?;
+        Ok(found.revision)
+    }
+
+    async fn follow(&self, store: &dyn Store) {
+        loop {
+            let seen = match self.refresh(store).await {
+                Ok(seen) => seen,
+                Err(err) => {
+                    tracing::warn!(%err, "bundle in the store cannot be used");
+                    tokio::time::sleep(RETRY_WAIT).await;
+                    continue;
+                }
+            };
+            if !self.is_watcher.load(Ordering::Relaxed) {
+                let role_changed = self.role_changed.notified();
+                let _ = tokio::time::timeout(POLL_INTERVAL, role_changed).await;
+                continue;
+            }
+            // The read that follows decides; what the watch returns may be stale.
+            if store.watch(CURRENT, seen, WATCH_WAIT).await.is_err() {
+                tokio::time::sleep(RETRY_WAIT).await;
+            }
+        }
+    }
+
+    fn accept(&self, record: CurrentRecord) -> Result<bool, BundleError> {
+        let mut kept = self.kept.write();
+        if kept.record.as_ref() == Some(&record) {
+            return Ok(false);
+        }
+        let version = record.release.as_ref().map_or(Version(0), |r| r.version);
+        if version != record.version {
+            return Err(untrusted("record and release differ in version"));
+        }
+        let ring = self.newer_ring(&kept, &record)?;
+        let bundle = self.newer_bundle(&kept, &record, ring.as_ref())?;
+        if ring.is_none() && bundle.is_none() {
+            return Ok(false);
+        }
+        let mut next = kept.record.clone().unwrap_or_else(|| record.clone());
+        if let Some(ring) = ring {
+            next.ring = record.ring;
+            next.ring_changed_by = record.ring_changed_by;
+            next.ring_changed_at = record.ring_changed_at;
+            kept.ring = Some(ring);
+        }
+        if let Some(bundle) = bundle {
+            next.version = version;
+            next.release = record.release;
+            self.active.raise(bundle);
+            self.versions.send_replace(version);
+        }
+        next.writer = record.writer;
+        kept.record = Some(next);
+        Ok(true)
+    }
+
+    /// Verifies the record's ring and returns it if it is newer than the one kept.
+    fn newer_ring(
+        &self,
+        kept: &Kept,
+        record: &CurrentRecord,
+    ) -> Result<Option<KeyRing>, BundleError> {
+        let known = kept.record.as_ref().map(|record| &record.ring.text);
+        if known == Some(&record.ring.text) {
+            return Ok(None);
+        }
+        let ring = self.trust.open(&record.ring)?;
+        match &kept.ring {
+            Some(held) if held.serial == ring.serial => {
+                Err(untrusted("two key rings have the same serial"))
+            }
+            Some(held) if held.serial > ring.serial => Ok(None),
+            _ => Ok(Some(ring)),
+        }
+    }
+
+    /// Verifies the record's release against the newest ring and returns it if it is newer than
+    /// the bundle in force.
+    fn newer_bundle(
+        &self,
+        kept: &Kept,
+        record: &CurrentRecord,
+        ring: Option<&KeyRing>,
+    ) -> Result<Option<BundleInForce>, BundleError> {
+        let Some(release) = &record.release else {
+            return Ok(None);
+        };
+        let in_force = kept.record.as_ref().and_then(|r| r.release.as_ref());
+        if let Some(held) = in_force {
+            if held.version == release.version && held.digest != release.digest {
+                return Err(untrusted("two bundles have the same version"));
+            }
+            if held.version >= release.version {
+                return Ok(None);
+            }
+        }
+        let ring = ring
+            .or(kept.ring.as_ref())
+            .ok_or_else(|| untrusted("there is no key ring"))?;
+        Ok(Some(BundleInForce {
+            version: release.version,
+            bundle: release.verify(ring)?,
+        }))
+    }
+}
+
+fn untrusted(message: &str) -> BundleError {
+    BundleError::Untrusted(message.to_string())
+}
--- a/src/bundle/mod.rs
+++ b/src/bundle/mod.rs
@@ -2,7 +2,9 @@
 
 mod active;
 mod check;
+mod desk;
 mod diff;
+mod keeper;
 mod proposal;
 mod release;
 mod ring;
@@ -10,6 +12,8 @@
 
 pub use active::{ActiveBundle, BundleInForce};
 pub use check::{CheckedBundle, MAX_BUNDLE_BYTES, check_bundle, parse_bundle};
+pub use desk::BundleDesk;
 pub use diff::diff_bundles;
+pub use keeper::BundleKeeper;
 pub use ring::{Trust, sign_ring};
 pub use signing::{PrivateKey, SignOffSubject, digest_of, key_id, verify};
--- a/src/bundle/proposal.rs
+++ b/src/bundle/proposal.rs
@@ -100,6 +100,7 @@
         &self,
         by: OperatorId,
         at: Timestamp,
+        writer: WriterToken,
         current: &CurrentRecord,
         ring: &KeyRing,
     ) -> Result<Release, BundleError> {
@@ -111,6 +112,7 @@
             .ok_or_else(|| refused(format!("{} is not signed off", self.id)))?;
         check_signer_role(&sign_off.signer, ring)?;
         let release = Release {
+            writer,
             version: self.version(),
             site: ring.site.clone(),
             digest: self.digest,
--- a/src/bundle/ring.rs
+++ b/src/bundle/ring.rs
@@ -94,6 +94,12 @@
                 )));
             }
             for key in &operator.keys {
+                if key.until.is_none() && !operator.may(Role::SignOff) {
+                    return Err(untrusted(format!(
+                        "operator {} has a key but may not sign off",
+                        operator.name
+                    )));
+                }
                 if key.id != key_id(&key.public) || !keys.insert(&key.public) {
                     return Err(untrusted(format!(
                         "key {} is misnamed or listed twice",
@@ -153,15 +159,19 @@
     }
 
     /// Adds an operator, or gives a known one new roles and teams; keys and token stay.
-    pub fn put_operator(&mut self, next: OperatorRecord) {
+    ///
+    /// An operator who may no longer sign off loses the keys after `version`.
+    pub fn put_operator(&mut self, next: OperatorRecord, version: Version) {
         self.serial += 1;
-        match self.operators.iter_mut().find(|op| op.name == next.name) {
-            Some(known) => {
-                known.roles = next.roles;
-                known.teams = next.teams;
-                known.all_teams = next.all_teams;
-            }
-            None => self.operators.push(next),
+        let Some(known) = self.operators.iter_mut().find(|op| op.name == next.name) else {
+            self.operators.push(next);
+            return;
+        };
+        known.roles = next.roles;
+        known.teams = next.teams;
+        known.all_teams = next.all_teams;
+        if !known.may(Role::SignOff) {
+            end_keys(known, None, version);
         }
     }
 
--- a/src/ini/fault.rs
+++ b/src/ini/fault.rs
@@ -48,3 +48,14 @@
         Ok(())
     }
 }
+
+impl From<Fault> for crate::schema::config::PlacedFault {
+    fn from(fault: Fault) -> Self {
+        Self {
+            line: fault.line as u64,
+            section: fault.section,
+            key: fault.key,
+            message: fault.message,
+        }
+    }
+}
--- a/src/schema/config.rs
+++ b/src/schema/config.rs
@@ -844,6 +844,8 @@
     ///The bundle as INI text.
     pub text: ::std::string::String,
     pub version: crate::model::Version,
+    ///Token of the roll-out.
+    pub writer: crate::model::WriterToken,
 }
 impl ::std::convert::From<&Release> for Release {
     fn from(value: &Release) -> Self {
