--- /dev/null
+++ b/src/admin/auth.rs
@@ -0,0 +1,89 @@
+//! Authentication by bearer token.
+
+use std::time::Duration;
+
+use http::{HeaderMap, header};
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::bundle::{BundleDesk, BundleKeeper, digest_of};
+use crate::prelude::*;
+use crate::schema::config::{ApiError, ErrorKind, OperatorRecord};
+
+/// Shortest time between two reads of the key ring for tokens that are not known here, so that
+/// callers with wrong tokens cannot spend the rates of the store.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Who a call comes from.
+pub(super) enum Caller {
+    Operator(Box<OperatorRecord>),
+    /// A call without a token, or one before the first key ring.
+    Anonymous,
+}
+
+/// Finds operators by the digest of their token.
+pub(super) struct Auth {
+    keeper: Arc<BundleKeeper>,
+    last_reload: Mutex<Option<Instant>>,
+}
+
+impl Auth {
+    pub fn new(keeper: Arc<BundleKeeper>) -> Self {
+        Self {
+            keeper,
+            last_reload: Mutex::new(None),
+        }
+    }
+
+    /// Identifies the caller; the token itself appears in no message.
+    pub async fn identify(
+        &self,
+        headers: &HeaderMap,
+        desk: &BundleDesk,
+    ) -> Result<Caller, ApiError> {
+        let Some(value) = headers.get(header::AUTHORIZATION) else {
+            return Ok(Caller::Anonymous);
+        };
+        let token = value
+            .to_str()
+            .ok()
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .ok_or_else(|| unauthenticated("authorization header is not a bearer token"))?;
+        let digest = digest_of(token.trim().as_bytes());
+        if let Some(operator) = self.find(&digest) {
+            return Ok(Caller::Operator(Box::new(operator)));
+        }
+        if self.may_reload() {
+            let loaded = desk.load().await;
+            if self.keeper.newest_ring() == 0 {
+                loaded?;
+            }
+        }
+        self.find(&digest)
+            .map(|operator| Caller::Operator(Box::new(operator)))
+            .ok_or_else(|| unauthenticated("token is not known"))
+    }
+
+    fn find(&self, digest: &Digest) -> Option<OperatorRecord> {
+        self.keeper.ring()?.find_by_token(digest).cloned()
+    }
+
+    fn may_reload(&self) -> bool {
+        let mut last = self.last_reload.lock();
+        let now = Instant::now();
+        if last.is_some_and(|last| now.duration_since(last) < RELOAD_INTERVAL) {
+            return false;
+        }
+        *last = Some(now);
+        true
+    }
+}
+
+pub(super) fn unauthenticated(message: &str) -> ApiError {
+    ApiError {
+        kind: ErrorKind::Unauthenticated,
+        message: message.to_string(),
+        faults: Vec::new(),
+        other: None,
+    }
+}
--- a/src/bundle/desk/decide.rs
+++ b/src/bundle/desk/decide.rs
@@ -91,7 +91,13 @@
     /// Keeps a release readable; a write that was made before has the same content.
     async fn archive(&self, release: &Release) -> Result<(), BundleError> {
         let key = history(release.version);
-        match self.records.write(&key, Expected::Absent, release).await? {
+        let written = self.records.write(&key, Expected::Absent, release).await;
+        // An unresolved write of the history leaves the version in force as it is.
+        let written = written.map_err(|err| match err {
+            BundleError::Unknown { .. } => BundleError::Unavailable(err.to_string()),
+            err => err,
+        })?;
+        match written {
             Written::Conflict {
                 found: Some(found), ..
             } if found.value != *release => Err(BundleError::BadRecord {
--- a/src/bundle/desk/keys.rs
+++ b/src/bundle/desk/keys.rs
@@ -18,7 +18,10 @@
         who: Option<&OperatorId>,
         req: RingRequest,
     ) -> Result<RingView, BundleError> {
-        let ring = self.trust.open(&req.ring)?;
+        let ring = self.trust.open(&req.ring).map_err(|err| match err {
+            BundleError::Untrusted(reason) => BundleError::Forbidden(reason),
+            err => err,
+        })?;
         let held: Option<Held<CurrentRecord>> = self.records.read(CURRENT).await?;
         let by = match who {
             Some(who) => who.clone(),
--- a/src/bundle/desk/views.rs
+++ b/src/bundle/desk/views.rs
@@ -105,6 +105,15 @@
         })
     }
 
+    /// Reads the record in force and hands it to the keeper; tells whether there is one.
+    pub async fn load(&self) -> Result<bool, BundleError> {
+        let held: Option<Held<CurrentRecord>> = self.records.read(CURRENT).await?;
+        if let Some(held) = &held {
+            self.apply(&held.value);
+        }
+        Ok(held.is_some())
+    }
+
     pub(super) async fn held_proposal(
         &self,
         id: &ProposalId,
--- a/src/bundle/keeper.rs
+++ b/src/bundle/keeper.rs
@@ -128,11 +128,18 @@
     }
 
     async fn follow(&self, store: &dyn Store) {
+        let mut last_err = None;
         loop {
             let seen = match self.refresh(store).await {
-                Ok(seen) => seen,
+                Ok(seen) => {
+                    last_err = None;
+                    seen
+                }
                 Err(err) => {
-                    tracing::warn!(%err, "bundle in the store cannot be used");
+                    if last_err.as_ref() != Some(&err) {
+                        tracing::warn!(%err, "bundle in the store cannot be used");
+                    }
+                    last_err = Some(err);
                     tokio::time::sleep(RETRY_WAIT).await;
                     continue;
                 }
--- a/src/bundle/ring.rs
+++ b/src/bundle/ring.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use subtle::ConstantTimeEq;
+
 use super::{PrivateKey, key_id, verify};
 use crate::prelude::*;
 use crate::schema::config::{KeyRing, OperatorKey, OperatorRecord, Role, SignedRing};
@@ -66,6 +68,21 @@
         self.operators.iter().find(|found| found.name == *name)
     }
 
+    /// Finds the operator whose token has this digest.
+    ///
+    /// Every digest is compared in full, so the time taken tells nothing about them.
+    pub fn find_by_token(&self, token: &Digest) -> Option<&OperatorRecord> {
+        let mut found = None;
+        for operator in &self.operators {
+            if let Some(known) = &operator.token
+                && bool::from(known.0.ct_eq(&token.0))
+            {
+                found = Some(operator);
+            }
+        }
+        found
+    }
+
     /// Checks that names and keys are unique, so that nobody signs under two names.
     pub fn check(&self) -> Result<(), BundleError> {
         if self.operators.len() > MAX_OPERATORS {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! `docs/design.md` describes the modules and the reasons behind them.
 
+pub mod admin;
 pub mod audit;
 pub mod bundle;
 pub mod cli;
