--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -2,7 +2,10 @@
 
 use bpaf::{OptionParser, Parser, construct};
 
+use super::audit::{AuditVerb, audit};
+use super::bundle::{BundleVerb, bundle};
 use super::check::{Check, check};
+use super::key::{KeyVerb, key};
 use super::{CliError, Output};
 
 /// What the program is asked to do.
@@ -10,12 +13,21 @@
 pub enum Command {
     /// Checks files.
     Check(Check),
+    /// Changes the bundle.
+    Bundle(BundleVerb),
+    /// Manages keys.
+    Key(KeyVerb),
+    /// Reads the audit trail.
+    Audit(AuditVerb),
 }
 
 /// Options of the whole program.
 pub fn options() -> OptionParser<Command> {
     let check = check().map(Command::Check);
-    construct!([check])
+    let bundle = bundle().map(Command::Bundle);
+    let key = key().map(Command::Key);
+    let audit = audit().map(Command::Audit);
+    construct!([check, bundle, key, audit])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Scheduler for colocated latency-critical and batch work")
@@ -30,6 +42,9 @@
     pub async fn run(self) -> Result<Output, CliError> {
         match self {
             Self::Check(verb) => verb.run(),
+            Self::Bundle(verb) => verb.run().await,
+            Self::Key(verb) => verb.run().await,
+            Self::Audit(verb) => verb.run().await,
         }
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,9 +1,14 @@
 //! The command line; each verb is a file with its options and what it does.
 
+mod api;
+mod audit;
+mod bundle;
 mod check;
 mod command;
 mod exit;
+mod key;
 mod output;
+mod secret_file;
 
 use std::process::ExitCode;
 
