--- a/src/bundle/check.rs
+++ b/src/bundle/check.rs
@@ -1,6 +1,7 @@
 //! Checks the text of a bundle: the schema, and the rules that span several keys.
 
 use std::str::FromStr;
+use std::sync::LazyLock;
 
 use crate::ini::{Document, Entry, Fault, Faults, SchemaCheck};
 use crate::prelude::*;
@@ -9,6 +10,9 @@
 /// Schema of the bundle.
 const SCHEMA: &str = include_str!("../../schema/bundle.json");
 
+/// The schema, prepared once.
+static CHECK: LazyLock<SchemaCheck> = LazyLock::new(|| SchemaCheck::new(SCHEMA, "Bundle"));
+
 /// Longest text of a bundle; a stored record of at most 1 MB holds it next to the key ring.
 pub const MAX_BUNDLE_BYTES: usize = 256 << 10;
 
@@ -44,7 +48,7 @@
         }]));
     }
     let (doc, mut faults) = Document::parse_lossy(text);
-    let bundle = SchemaCheck::new(SCHEMA, "Bundle")
+    let bundle = CHECK
         .check::<Bundle>(&doc)
         .map_err(|found| faults.extend(found.0));
     check_weights(&doc, &mut faults);
--- a/src/bundle/keeper.rs
+++ b/src/bundle/keeper.rs
@@ -3,8 +3,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 use super::{ActiveBundle, BundleInForce, Trust};
 use crate::platform::Store;
@@ -13,11 +14,19 @@
 use crate::schema::config::{CurrentRecord, KeyRing};
 use crate::web::{decode, encode};
 
-/// Longest wait of one watch; a read follows it, so a lost notification costs no more than this.
-const WATCH_WAIT: Millis = Millis::from_secs(5);
+/// Longest wait of one watch; the next watch reports what a lost notification left out.
+const WATCH_WAIT: Millis = Millis::from_secs(2);
 
-/// Interval at which processes that do not watch read the record, in case peers do not answer.
-const POLL_INTERVAL: Duration = Duration::from_secs(30);
+/// Watches without a change after which the record is read all the same, in case the store lost
+/// its revisions.
+const WATCHES_PER_READ: u32 = 30;
+
+/// Time after which a process reads the record itself if neither it nor a peer has heard from the
+/// store; a change then is in effect within 8 s even where no peer can be reached.
+const MAX_AGE: Millis = Millis::from_secs(6);
+
+/// Interval at which the age is looked at.
+const AGE_TICK: Duration = Duration::from_millis(500);
 
 /// Wait after a failed call of the store.
 const RETRY_WAIT: Duration = Duration::from_secs(1);
@@ -40,6 +49,7 @@
     active: Arc<ActiveBundle>,
     kept: RwLock<Kept>,
     is_watcher: AtomicBool,
+    confirmed: Mutex<Option<Instant>>,
     role_changed: Notify,
     versions: watch::Sender<Version>,
 }
@@ -52,6 +62,7 @@
             active,
             kept: RwLock::default(),
             is_watcher: AtomicBool::new(false),
+            confirmed: Mutex::new(None),
             role_changed: Notify::new(),
             versions: watch::channel(Version(0)).0,
         }
@@ -100,6 +111,25 @@
         self.accept(record)
     }
 
+    /// Returns the time since the store last confirmed the version here, directly or through peers.
+    ///
+    /// Heartbeats carry it to peers; a process that has heard from nobody reads the store itself.
+    pub fn age(&self) -> Option<Millis> {
+        self.confirmed.lock().map(|at| at.elapsed().into())
+    }
+
+    /// Notes that a peer has this version, which the store confirmed to it `age` ago.
+    pub fn confirm(&self, version: Version, age: Millis) {
+        if version != self.newest() {
+            return;
+        }
+        let Some(at) = Instant::now().checked_sub(age.into()) else {
+            return;
+        };
+        let mut confirmed = self.confirmed.lock();
+        *confirmed = (*confirmed).max(Some(at));
+    }
+
     /// Makes this process one of the few that watch the store, or no longer one.
     pub fn set_watcher(&self, watcher: bool) {
         self.is_watcher.store(watcher, Ordering::Relaxed);
@@ -120,21 +150,22 @@
             .get(CURRENT)
             .await
             .map_err(|err| BundleError::Unavailable(err.to_string()))?;
-        let Some(found) = found else {
-            return Ok(Revision(0));
+        let revision = match found {
+            None => Revision(0),
+            Some(found) => {
+                self.offer(&found.value)?;
+                found.revision
+            }
         };
-        self.offer(&found.value)?;
-        Ok(found.revision)
+        *self.confirmed.lock() = Some(Instant::now());
+        Ok(revision)
     }
 
     async fn follow(&self, store: &dyn Store) {
         let mut last_err = None;
         loop {
             let seen = match self.refresh(store).await {
-                Ok(seen) => {
-                    last_err = None;
-                    seen
-                }
+                Ok(seen) => seen,
                 Err(err) => {
                     if last_err.as_ref() != Some(&err) {
                         tracing::warn!(%err, "bundle in the store cannot be used");
@@ -144,15 +175,32 @@
                     continue;
                 }
             };
+            last_err = None;
+            self.until_due(store, seen).await;
+        }
+    }
+
+    /// Waits until the record has to be read again.
+    async fn until_due(&self, store: &dyn Store, seen: Revision) {
+        let mut watches = 0;
+        while watches < WATCHES_PER_READ {
             if !self.is_watcher.load(Ordering::Relaxed) {
                 let role_changed = self.role_changed.notified();
-                let _ = tokio::time::timeout(POLL_INTERVAL, role_changed).await;
+                let _ = tokio::time::timeout(AGE_TICK, role_changed).await;
+                if self.age().is_none_or(|age| age >= MAX_AGE) {
+                    return;
+                }
                 continue;
             }
-            // The read that follows decides; what the watch returns may be stale.
-            if store.watch(CURRENT, seen, WATCH_WAIT).await.is_err() {
-                tokio::time::sleep(RETRY_WAIT).await;
+            match store.watch(CURRENT, seen, WATCH_WAIT).await {
+                Ok(changes) if changes.is_empty() => *self.confirmed.lock() = Some(Instant::now()),
+                Ok(_) => return,
+                Err(_) => {
+                    tokio::time::sleep(RETRY_WAIT).await;
+                    return;
+                }
             }
+            watches += 1;
         }
     }
 
