Wire the daemon and the development check

Change: daemon with servers for callers, peers and administration, serve and dev verbs, a scenario with faults that verifies the promises from what callers and workers recorded.

--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -5,12 +5,18 @@
 use super::audit::{AuditVerb, audit};
 use super::bundle::{BundleVerb, bundle};
 use super::check::{Check, check};
+use super::dev::{Dev, dev};
 use super::key::{KeyVerb, key};
+use super::serve::{Serve, serve};
 use super::{CliError, Output};
 
 /// What the program is asked to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
+    /// Runs the daemon.
+    Serve(Serve),
+    /// Runs a development site.
+    Dev(Dev),
     /// Checks files.
     Check(Check),
     /// Changes the bundle.
@@ -23,11 +29,13 @@
 
 /// Options of the whole program.
 pub fn options() -> OptionParser<Command> {
+    let serve = serve().map(Command::Serve);
+    let dev = dev().map(Command::Dev);
     let check = check().map(Command::Check);
     let bundle = bundle().map(Command::Bundle);
     let key = key().map(Command::Key);
     let audit = audit().map(Command::Audit);
-    construct!([check, bundle, key, audit])
+    construct!([serve, dev, check, bundle, key, audit])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Scheduler for colocated latency-critical and batch work")
@@ -41,6 +49,8 @@
     /// Carries out the command.
     pub async fn run(self) -> Result<Output, CliError> {
         match self {
+            Self::Serve(verb) => verb.run().await,
+            Self::Dev(verb) => verb.run().await,
             Self::Check(verb) => verb.run(),
             Self::Bundle(verb) => verb.run().await,
             Self::Key(verb) => verb.run().await,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,10 +5,12 @@
 mod bundle;
 mod check;
 mod command;
+mod dev;
 mod exit;
 mod key;
 mod output;
 mod secret_file;
+mod serve;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/src/daemon/feeder.rs
@@ -0,0 +1,214 @@
+//! Feeds what the membership publishes to the request path and the batch side.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use super::key_snapshot::KeySnapshot;
+use crate::batch::BatchNode;
+use crate::bundle::{BundleInForce, BundleKeeper};
+use crate::peer::{MemberNode, PeerNews, ViewNews, VmNews};
+use crate::prelude::*;
+use crate::proxy::{Clock, Proxy};
+use crate::routing::{Dispatcher, EndpointShare, PeerLoad};
+use crate::schema::vm::{VmRecord, VmRole, VmState};
+
+/// Longest time between two rounds; ages of peers' reports are refreshed by them.
+const ROUND: Duration = Duration::from_millis(250);
+
+/// Reports of peers that are older than this are not used.
+const PEER_REPORT_LIMIT: Millis = Millis(5000);
+
+/// Values that were applied last.
+struct Applied {
+    vms: watch::Receiver<Arc<VmNews>>,
+    slots: watch::Receiver<Arc<BTreeMap<VmId, u32>>>,
+    bundle: Option<Arc<BundleInForce>>,
+    epoch: Epoch,
+}
+
+/// Applies published values to the modules that decide by them.
+pub(super) struct Feeder {
+    node: Arc<MemberNode>,
+    keeper: Arc<BundleKeeper>,
+    proxy: Proxy,
+    dispatcher: Arc<Mutex<Dispatcher>>,
+    batch: Arc<BatchNode>,
+    clock: Clock,
+    region: RegionId,
+    applied: Mutex<Applied>,
+}
+
+impl Feeder {
+    pub(super) fn new(
+        node: Arc<MemberNode>,
+        keeper: Arc<BundleKeeper>,
+        proxy: Proxy,
+        dispatcher: Arc<Mutex<Dispatcher>>,
+        batch: Arc<BatchNode>,
+        clock: Clock,
+        region: RegionId,
+    ) -> Arc<Self> {
+        let applied = Mutex::new(Applied {
+            vms: node.watch_vms(),
+            slots: node.watch_slots(),
+            bundle: None,
+            epoch: Epoch(0),
+        });
+        Arc::new(Self {
+            node,
+            keeper,
+            proxy,
+            dispatcher,
+            batch,
+            clock,
+            region,
+            applied,
+        })
+    }
+
+    /// Applies changes as they are published until `cancel` fires.
+    pub(super) async fn run(self: Arc<Self>, cancel: CancellationToken) {
+        let mut vms = self.node.watch_vms();
+        let mut slots = self.node.watch_slots();
+        let mut view = self.node.watch_view();
+        let mut peers = self.node.watch_peers();
+        let mut versions = self.keeper.subscribe();
+        loop {
+            self.apply_view(&view.borrow_and_update().clone());
+            self.apply_endpoints();
+            self.apply_peers(&view.borrow().clone(), &peers.borrow_and_update().clone());
+            self.keeper.set_watcher(self.node.is_watcher());
+            tokio::select! {
+                () = cancel.cancelled() => return,
+                () = tokio::time::sleep(ROUND) => {}
+                Ok(()) = vms.changed() => {}
+                Ok(()) = slots.changed() => {}
+                Ok(()) = view.changed() => {}
+                Ok(()) = versions.changed() => {}
+            }
+        }
+    }
+
+    /// Applies the newest bundle, VM list and slots to the request path, if they changed.
+    ///
+    /// The membership calls this before it counts slots in use, so that slots that were given up
+    /// get no new request after the count.
+    pub(super) fn apply_endpoints(&self) {
+        let mut applied = self.applied.lock();
+        let bundle = self.keeper.active().current();
+        let bundle_changed = bundle.as_ref().map(|held| held.version)
+            != applied.bundle.as_ref().map(|held| held.version);
+        let vms_changed = applied.vms.has_changed().unwrap_or(false);
+        let slots_changed = applied.slots.has_changed().unwrap_or(false);
+        if let Some(bundle) = bundle.filter(|_| bundle_changed) {
+            self.dispatcher.lock().configure(&bundle, self.clock.now());
+            applied.bundle = Some(bundle);
+        }
+        if !bundle_changed && !vms_changed && !slots_changed {
+            return;
+        }
+        let vms = applied.vms.borrow_and_update().clone();
+        let slots = applied.slots.borrow_and_update().clone();
+        for (service, shares) in self.shares(&vms, &slots, applied.bundle.as_deref()) {
+            self.proxy.set_endpoints(&service, shares);
+        }
+        if vms_changed || bundle_changed {
+            self.batch.set_vms(&vms.vms);
+        }
+    }
+
+    fn apply_view(&self, news: &ViewNews) {
+        let mut applied = self.applied.lock();
+        if news.epoch <= applied.epoch || news.members.is_empty() {
+            return;
+        }
+        applied.epoch = news.epoch;
+        self.proxy.adopt_view(Arc::new(KeySnapshot::new(news)));
+    }
+
+    fn apply_peers(&self, view: &ViewNews, peers: &BTreeMap<MemberId, PeerNews>) {
+        let now = self.node.now();
+        let mut loads: BTreeMap<ServiceId, Vec<PeerLoad>> = BTreeMap::new();
+        for member in &view.members {
+            let Some(news) = peers.get(&member.id) else {
+                continue;
+            };
+            let age = now.since(news.heard);
+            if age > PEER_REPORT_LIMIT {
+                continue;
+            }
+            for load in &news.loads {
+                loads
+                    .entry(load.service.clone())
+                    .or_default()
+                    .push(PeerLoad {
+                        member: member.id.clone(),
+                        zone: member.zone.clone(),
+                        free_slots: load.free,
+                        queue_delay: load.delay,
+                        age,
+                    });
+            }
+        }
+        let mut dispatcher = self.dispatcher.lock();
+        for service in self.services() {
+            let peers = loads.remove(&service).unwrap_or_default();
+            dispatcher.set_peers(&service, peers, self.clock.now());
+        }
+    }
+
+    fn services(&self) -> BTreeSet<ServiceId> {
+        let bundle = self.keeper.active().current();
+        bundle
+            .map(|held| held.bundle.service.keys().cloned().collect())
+            .unwrap_or_default()
+    }
+
+    fn shares(
+        &self,
+        news: &VmNews,
+        slots: &BTreeMap<VmId, u32>,
+        bundle: Option<&BundleInForce>,
+    ) -> BTreeMap<ServiceId, Vec<EndpointShare>> {
+        let mut shares: BTreeMap<ServiceId, Vec<EndpointShare>> = BTreeMap::new();
+        let known = bundle
+            .into_iter()
+            .flat_map(|held| held.bundle.service.iter());
+        for (service, _) in known {
+            shares.entry(service.clone()).or_default();
+        }
+        for vm in news.vms.iter().filter(|vm| vm.region == self.region) {
+            let Some((service, share)) = share(vm, news, slots) else {
+                continue;
+            };
+            if let Some(list) = shares.get_mut(&service) {
+                list.push(share);
+            }
+        }
+        shares
+    }
+}
+
+/// Builds the share of a worker's endpoint, or `None` for VMs without one.
+fn share(
+    vm: &VmRecord,
+    news: &VmNews,
+    slots: &BTreeMap<VmId, u32>,
+) -> Option<(ServiceId, EndpointShare)> {
+    if vm.role != VmRole::Worker {
+        return None;
+    }
+    let service = vm.service.clone()?;
+    let address: Address = vm.address.parse().ok()?;
+    let share = EndpointShare {
+        vm: vm.vm.clone(),
+        zone: vm.zone.clone(),
+        address,
+        slots: slots.get(&vm.vm).copied().unwrap_or_default(),
+        leaving: vm.state == VmState::Leaving || news.leaving.contains(&vm.vm),
+    };
+    Some((service, share))
+}
--- /dev/null
+++ b/src/daemon/job_calls.rs
@@ -0,0 +1,129 @@
+//! Administration calls for jobs: submit, show, list and cancel.
+
+use async_trait::async_trait;
+use http::Method;
+
+use crate::admin::{AdminAnswer, AdminExtension};
+use crate::batch::{BatchNode, Refusal};
+use crate::prelude::*;
+use crate::schema::batch::{JobFilter, JobSpec};
+use crate::schema::config::{ErrorKind, OperatorRecord, Role};
+
+/// Serves `/jobs`, `/jobs/list`, `/jobs/cancel` and `/jobs/<id>`.
+pub(super) struct JobCalls {
+    pub(super) batch: Arc<BatchNode>,
+}
+
+impl JobCalls {
+    async fn submit(&self, operator: &OperatorRecord, body: &[u8]) -> AdminAnswer {
+        let spec: JobSpec = match serde_json::from_slice(body) {
+            Ok(spec) => spec,
+            Err(err) => return bad_input(err),
+        };
+        if !operator.may_change(&spec.team) {
+            return forbidden(&spec.team);
+        }
+        answer(
+            self.batch
+                .submit(spec)
+                .await
+                .map(|job| serde_json::json!({ "job": job })),
+        )
+    }
+
+    async fn list(&self, body: &[u8]) -> AdminAnswer {
+        match filter(body) {
+            Ok(filter) => answer(self.batch.list(&filter).await),
+            Err(answer) => *answer,
+        }
+    }
+
+    async fn cancel(&self, operator: &OperatorRecord, body: &[u8]) -> AdminAnswer {
+        let filter = match filter(body) {
+            Ok(filter) => filter,
+            Err(answer) => return *answer,
+        };
+        let found = match self.batch.list(&filter).await {
+            Ok(found) => found,
+            Err(err) => return refused(&err),
+        };
+        let foreign = found
+            .iter()
+            .find(|job| !operator.may_change(&job.spec.team));
+        if let Some(job) = foreign {
+            return forbidden(&job.spec.team);
+        }
+        answer(self.batch.cancel(&filter).await)
+    }
+
+    async fn show(&self, id: &str) -> AdminAnswer {
+        let id: JobId = match id.parse() {
+            Ok(id) => id,
+            Err(err) => return bad_input(err),
+        };
+        match self.batch.show(&id).await {
+            Ok(Some(job)) => AdminAnswer::ok(&job),
+            Ok(None) => AdminAnswer::error(ErrorKind::NotFound, format!("job {id} does not exist")),
+            Err(err) => refused(&err),
+        }
+    }
+}
+
+#[async_trait(?Send)]
+impl AdminExtension for JobCalls {
+    fn prefix(&self) -> &str {
+        "/jobs"
+    }
+
+    async fn call(
+        &self,
+        operator: &OperatorRecord,
+        method: &Method,
+        path: &str,
+        body: &[u8],
+    ) -> AdminAnswer {
+        if !operator.may(Role::Operate) {
+            return AdminAnswer::error(ErrorKind::Forbidden, "jobs need the role operate");
+        }
+        match (method.as_str(), path) {
+            ("POST", "") => self.submit(operator, body).await,
+            ("POST", "/list") => self.list(body).await,
+            ("POST", "/cancel") => self.cancel(operator, body).await,
+            ("GET", id) if id.starts_with('/') => self.show(&id[1..]).await,
+            _ => AdminAnswer::error(ErrorKind::NotFound, "there is no such call"),
+        }
+    }
+}
+
+fn filter(body: &[u8]) -> Result<JobFilter, Box<AdminAnswer>> {
+    serde_json::from_slice(body).map_err(|err| Box::new(bad_input(err)))
+}
+
+fn answer<T: serde::Serialize>(result: Result<T, Refusal>) -> AdminAnswer {
+    match result {
+        Ok(data) => AdminAnswer::ok(&data),
+        Err(err) => refused(&err),
+    }
+}
+
+fn refused(err: &Refusal) -> AdminAnswer {
+    let kind = match err {
+        Refusal::Invalid(_) => ErrorKind::BadInput,
+        Refusal::Impossible(_) => ErrorKind::Refused,
+        Refusal::KeyReused { .. } => ErrorKind::Conflict,
+        Refusal::NotAccepted(_) => ErrorKind::Unavailable,
+        Refusal::Unknown(_) => ErrorKind::UnknownOutcome,
+    };
+    AdminAnswer::error(kind, err.to_string())
+}
+
+fn bad_input(err: impl std::fmt::Display) -> AdminAnswer {
+    AdminAnswer::error(ErrorKind::BadInput, err.to_string())
+}
+
+fn forbidden(team: &TeamId) -> AdminAnswer {
+    AdminAnswer::error(
+        ErrorKind::Forbidden,
+        format!("operator may not act for team {team}"),
+    )
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,12 @@
+//! The daemon of an entry VM: wires the modules together.
+
+mod daemon_metrics;
+mod entry;
+mod feeder;
+mod health;
+mod job_calls;
+mod key_snapshot;
+mod local;
+mod status_calls;
+
+pub use entry::Daemon;
--- a/src/dev/platform.rs
+++ b/src/dev/platform.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use super::Site;
+use super::{Site, id};
 use crate::prelude::*;
 use crate::schema::vm::{VmRecord, VmRole, VmState};
 use crate::standin::{AgentHost, Checkpoints, Endpoint, KvServer, VmServer, WorkerServer};
@@ -103,12 +103,7 @@
 }
 
 fn vm_id(index: usize) -> VmId {
-    id(format!("worker-{}", index + 1))
-}
-
-/// Builds an identifier from text of this program's own making.
-fn id<T: TryFrom<String> + Default>(text: String) -> T {
-    T::try_from(text).unwrap_or_default()
+    id(&format!("worker-{}", index + 1))
 }
 
 fn worker_record(
@@ -124,12 +119,12 @@
         vm: worker.vm.clone(),
         role: VmRole::Worker,
         state: VmState::Live,
-        zone: id(zones[rack % zones.len()].to_string()),
-        region: id(site.region().to_string()),
-        rack: id(format!("rack-{}", rack + 1)),
+        zone: id(zones[rack % zones.len()]),
+        region: id(site.region()),
+        rack: id(&format!("rack-{}", rack + 1)),
         address: worker.endpoint.addr().to_string(),
         agent: format!("{agents_addr}/{}", worker.vm),
-        service: Some(id(site.service().to_string())),
+        service: Some(id(site.service())),
         capacity: site.capacity(),
     }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -213,3 +213,42 @@
         }
     }
 }
+
+/// Why a daemon could not start.
+#[derive(Debug, Error)]
+pub enum DaemonError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {addr}: {reason}")]
+    Listen {
+        /// The address of the settings.
+        addr: crate::model::Address,
+        /// What the system said.
+        reason: String,
+    },
+    /// The VM's name makes no valid member id.
+    #[error(transparent)]
+    Member(#[from] ModelError),
+    /// Metrics cannot be registered.
+    #[error("metrics cannot be registered: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// Why a development installation could not start or be checked.
+#[derive(Debug, Error)]
+pub enum DevError {
+    /// A stand-in could not start.
+    #[error("a stand-in could not start: {0}")]
+    StandIn(#[from] std::io::Error),
+    /// A bundle could not be rolled out.
+    #[error("bundle could not be rolled out: {0}")]
+    Bundle(#[from] BundleError),
+    /// A daemon could not start.
+    #[error("daemon could not start: {0}")]
+    Daemon(#[from] DaemonError),
+    /// A call of the administration API failed.
+    #[error("administration call failed: {0}")]
+    Admin(String),
+    /// The entry processes did not become ready in time.
+    #[error("entry processes did not become ready in time")]
+    NotReady,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod bench;
 pub mod bundle;
 pub mod cli;
+pub mod daemon;
 pub mod dedup;
 pub mod dev;
 pub mod error;
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -5,6 +5,7 @@
 pub use tokio_util::sync::CancellationToken;
 
 pub use crate::error::{
-    BundleError, CallError, ModelError, OtherChange, PlatformError, StoreError,
+    BundleError, CallError, DaemonError, DevError, ModelError, OtherChange, PlatformError,
+    StoreError,
 };
 pub use crate::model::*;
--- a/src/routing/dispatcher.rs
+++ b/src/routing/dispatcher.rs
@@ -162,6 +162,11 @@
         self.services.values().filter_map(Service::next_tick).min()
     }
 
+    /// Returns the requests in progress at each endpoint that has any.
+    pub fn in_use(&self) -> BTreeMap<VmId, u32> {
+        self.services.values().flat_map(Service::in_use).collect()
+    }
+
     /// Returns the load of a service.
     pub fn load(&self, service: &ServiceId) -> ServiceLoad {
         self.services
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -140,6 +140,14 @@
         self.endpoints.iter().map(Endpoint::in_progress).sum()
     }
 
+    /// Returns the requests in progress at each endpoint that has any.
+    pub fn in_use(&self) -> impl Iterator<Item = (VmId, u32)> {
+        self.endpoints
+            .iter()
+            .filter(|endpoint| endpoint.in_progress() > 0)
+            .map(|endpoint| (endpoint.share.vm.clone(), endpoint.in_progress()))
+    }
+
     /// Returns the number of ejected endpoints.
     pub fn ejected(&self) -> u32 {
         let ejected = self.members().filter(|e| e.health.is_ejected());
--- a/src/routing/service/mod.rs
+++ b/src/routing/service/mod.rs
@@ -144,6 +144,11 @@
         self.wait(tracked, req.forwarded, now)
     }
 
+    /// Returns the requests in progress at each endpoint that has any.
+    pub fn in_use(&self) -> impl Iterator<Item = (VmId, u32)> {
+        self.fleet.in_use()
+    }
+
     /// Returns the load for heartbeats and metrics.
     pub fn load(&self) -> ServiceLoad {
         let class = self.policy.as_ref().map(|p| &p.spec.default_class);
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -234,7 +234,7 @@
             start,
         };
         let (id, from) = (task.start.task.clone(), task.start.resume_from.clone());
-        self.record(&id, task.attempt, TaskPhase::Running, from);
+        self.record(&id, task.attempt, TaskPhase::Running, from, self.clock);
         self.tasks.insert(id, task);
         Ok(())
     }
@@ -298,10 +298,10 @@
         } else {
             return;
         };
-        self.end(id, phase);
+        self.end(id, phase, until);
     }
 
-    fn end(&mut self, id: &TaskId, phase: TaskPhase) {
+    fn end(&mut self, id: &TaskId, phase: TaskPhase, at: Millis) {
         let Some(task) = self.tasks.get_mut(id) else {
             return;
         };
@@ -321,7 +321,7 @@
             }
         }
         let checkpoint = task.checkpoint.clone();
-        self.record(id, attempt, phase, checkpoint);
+        self.record(id, attempt, phase, checkpoint, at);
     }
 
     fn record(
@@ -330,9 +330,10 @@
         attempt: Attempt,
         phase: TaskPhase,
         checkpoint: Option<CheckpointId>,
+        at: Millis,
     ) {
         self.events.push(WorkerEvent {
-            at: self.clock,
+            at,
             task: id.clone(),
             attempt,
             phase,
--- a/src/web/server.rs
+++ b/src/web/server.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 
-use tokio::task::JoinHandle;
+use xitca_server::ServerHandle;
 use xitca_web::WebContext;
 use xitca_web::service::fn_service;
 
@@ -14,7 +14,8 @@
 /// A running server; it stops gracefully when its token is cancelled.
 pub struct Server {
     addr: SocketAddr,
-    task: JoinHandle<io::Result<()>>,
+    handle: ServerHandle,
+    ended: CancellationToken,
 }
 
 impl Server {
@@ -36,13 +37,28 @@
             .worker_threads(threads)
             .listen(listener)?
             .run();
-        let stop = server.handle()?;
-        let task = tokio::spawn(server);
+        let handle = server.handle()?;
+        let ended = CancellationToken::new();
+        let guard = ended.clone().drop_guard();
+        // The server owns a runtime, which must not be dropped within another one.
+        std::thread::Builder::new()
+            .name("web-server".to_string())
+            .spawn(move || {
+                if let Err(err) = server.wait() {
+                    tracing::warn!(%err, "server failed");
+                }
+                drop(guard);
+            })?;
+        let stop = handle.clone();
         tokio::spawn(async move {
             cancel.cancelled().await;
             stop.stop(true);
         });
-        Ok(Self { addr, task })
+        Ok(Self {
+            addr,
+            handle,
+            ended,
+        })
     }
 
     /// Returns the address that was bound.
@@ -50,9 +66,14 @@
         self.addr
     }
 
+    /// Closes all connections at once.
+    pub fn abort(&self) {
+        self.handle.stop(false);
+    }
+
     /// Waits until the server has stopped.
-    pub async fn join(self) -> io::Result<()> {
-        self.task.await.map_err(io::Error::other)?
+    pub async fn stopped(&self) {
+        self.ended.cancelled().await;
     }
 }
 
