--- a/tests/audit.rs
+++ b/tests/audit.rs
@@ -147,7 +147,8 @@
 /// Guards against edits, gaps and cut ends that verification overlooks.
 #[test]
 fn tampering_shows() {
-    let edits: [(&str, fn(&mut AuditSegment)); 6] = [
+    type Edit = fn(&mut AuditSegment);
+    let edits: [(&str, Edit); 6] = [
         ("edited", |s| s.entries[3].who = id("eve")),
         ("outcome edited", |s| {
             s.entries[3].outcome = AuditOutcome::Refused
--- a/tests/bundle_model.rs
+++ b/tests/bundle_model.rs
@@ -382,7 +382,6 @@
     world.pass(BOUND).await?;
     world.check_versions().await?;
     world.check_agreement().await?;
-    eprintln!(steps.len(), world.stored, world.rolled_out.len());
     let report = world
         .process(0)
         .audit
