--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,16 +3,26 @@
 //! `docs/design.md` describes the modules and the reasons behind them.
 
 pub mod admin;
+pub mod admission;
 pub mod audit;
+pub mod batch;
+pub mod bench;
 pub mod bundle;
 pub mod cli;
+pub mod dedup;
+pub mod dev;
 pub mod error;
 pub mod ini;
 pub mod membership;
 pub mod model;
+pub mod peer;
+pub mod placement;
 pub mod platform;
 pub mod prelude;
+pub mod proxy;
 pub mod records;
+pub mod retry;
+pub mod routing;
 pub mod schema;
 pub mod settings;
 pub mod standin;
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -2,10 +2,14 @@
 //!
 //! `cargo run -p schema-gen` writes these files anew.
 
+#[rustfmt::skip]
+pub mod batch;
 #[rustfmt::skip]
 pub mod bundle;
 #[rustfmt::skip]
+pub mod dedup;
 pub mod config;
+pub mod peer;
 #[rustfmt::skip]
 pub mod settings;
 #[rustfmt::skip]
