--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -24,6 +24,14 @@
 
 /// Checks the text of a settings file and reports every fault.
 pub fn parse_settings(text: &str) -> Result<Settings, Faults> {
-    let doc = Document::parse(text)?;
-    SchemaCheck::new(SCHEMA, "Settings").check(&doc)
+    let (doc, mut faults) = Document::parse_lossy(text);
+    match SchemaCheck::new(SCHEMA, "Settings").check(&doc) {
+        Ok(settings) if faults.is_empty() => Ok(settings),
+        Ok(_) => Err(Faults(faults)),
+        Err(found) => {
+            faults.extend(found.0);
+            faults.sort();
+            Err(Faults(faults))
+        }
+    }
 }
