--- a/src/ini/check.rs
+++ b/src/ini/check.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use jsonschema::Validator;
+use jsonschema::error::ValidationErrorKind;
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
 
@@ -43,12 +44,12 @@
             .validator
             .iter_errors(&value)
             .map(|err| {
-                place_fault(
-                    &places,
-                    doc,
-                    &err.instance_path.to_string(),
-                    &err.to_string(),
-                )
+                let pointer = err.instance_path.to_string();
+                let fault = place_fault(&places, doc, &pointer, &err.to_string());
+                match &err.kind {
+                    ValidationErrorKind::Required { property } => missing(fault, property),
+                    _ => fault,
+                }
             })
             .collect();
         faults.sort();
@@ -177,6 +178,21 @@
     name.replace('~', "~0").replace('/', "~1")
 }
 
+/// Names the section or key that is missing.
+fn missing(fault: Fault, property: &Value) -> Fault {
+    let name = property.as_str().unwrap_or_default().to_string();
+    let (section, key, what) = match fault.section.is_empty() {
+        true => (name, String::new(), "section"),
+        false => (fault.section, name, "key"),
+    };
+    Fault {
+        section,
+        key,
+        message: format!("{what} is missing"),
+        ..fault
+    }
+}
+
 fn place_fault(
     places: &BTreeMap<String, (String, String, usize)>,
     doc: &Document,
