--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -11,7 +11,7 @@
     pub in_progress: u32,
     /// Requests that wait for a slot.
     pub queued: u32,
-    /// Expected wait of a new request of the default class.
+    /// Time in which the present queue is served; zero while a slot is free.
     pub queue_delay: Millis,
     /// Median latency of recent answers; zero if there were none.
     pub p50: Millis,
@@ -30,7 +30,7 @@
     pub zone: ZoneId,
     /// Slots that were free.
     pub free_slots: u32,
-    /// Expected wait of a new request there.
+    /// Time in which its queue is served.
     pub queue_delay: Millis,
     /// Age of the report.
     pub age: Millis,
--- a/src/routing/peers.rs
+++ b/src/routing/peers.rs
@@ -18,6 +18,18 @@
 /// Age from which a report is ignored.
 const MAX_REPORT_AGE: Millis = Millis::from_secs(5);
 
+/// Difference of queues below which requests are not forwarded to a process without free slots.
+const MIN_GAIN: Millis = Millis(20);
+
+/// Queue of this process.
+#[derive(Clone, Copy, Debug)]
+pub struct Backlog {
+    /// Time in which the present queue is served.
+    pub drain: Millis,
+    /// Requests that end per millisecond while all slots are busy.
+    pub capacity: f64,
+}
+
 /// Peers that serve the same service.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -62,28 +74,30 @@
             .collect();
     }
 
-    /// Chooses a peer with free slots if the hop is shorter than `wait`.
+    /// Chooses a peer that is expected to serve a request sooner.
     ///
-    /// `None` as the wait stands for a request that cannot be served here at all.
+    /// `wait` is the expected wait here; `None` stands for a request that cannot be served here.
     pub fn choose(
         &mut self,
         wait: Option<Millis>,
+        backlog: Backlog,
         rng: &mut ChaCha8Rng,
         now: Millis,
     ) -> Option<MemberId> {
-        let senders = self.peers.len().max(1) as f64;
         let candidates: Vec<usize> = (0..self.peers.len())
             .filter(|&at| {
-                let peer = &self.peers[at];
-                let saves = wait.is_none_or(|wait| wait > self.hop(peer) + peer.load.queue_delay);
-                saves && peer.left(senders, now) >= 1.0
+                let hop = self.hop(&self.peers[at]);
+                wait.is_none_or(|wait| wait > hop) && self.room(at, wait, backlog, now) >= 1.0
             })
             .collect();
-        let first = *candidates.get(rng.random_range(0..candidates.len().max(1)))?;
+        if candidates.is_empty() {
+            return None;
+        }
+        let first = candidates[rng.random_range(0..candidates.len())];
         let second = candidates[rng.random_range(0..candidates.len())];
         let rank = |at: usize| {
             let peer = &self.peers[at];
-            (self.hop(peer), -peer.left(senders, now))
+            (self.hop(peer), -self.room(at, wait, backlog, now))
         };
         let best = if rank(second) < rank(first) {
             second
@@ -94,6 +108,33 @@
         Some(self.peers[best].load.member.clone())
     }
 
+    /// Returns how many more requests may be forwarded to a peer until its next report.
+    ///
+    /// A peer with free slots gets this process's part of them. A peer with a shorter queue gets
+    /// this process's part of half the difference, since every process may act on the same report.
+    fn room(&self, at: usize, wait: Option<Millis>, backlog: Backlog, now: Millis) -> f64 {
+        let peer = &self.peers[at];
+        let age = now.since(peer.reported);
+        if age >= MAX_REPORT_AGE {
+            return 0.0;
+        }
+        let senders = self.peers.len() as f64;
+        let fresh = 0.5_f64.powf(age.get() as f64 / REPORT_HALF_LIFE.get() as f64);
+        let free = f64::from(peer.load.free_slots) * fresh;
+        let gain = match wait {
+            Some(_) => backlog.drain.get() as f64,
+            None => MAX_REPORT_AGE.get() as f64,
+        };
+        let gain = gain - (self.hop(peer) + peer.load.queue_delay).get() as f64;
+        let shorter = if gain > MIN_GAIN.get() as f64 {
+            gain / 2.0 * backlog.capacity * fresh
+        } else {
+            0.0
+        };
+        let part = (free + shorter) / senders;
+        part.max(free.min(1.0)) - f64::from(peer.forwarded)
+    }
+
     fn hop(&self, peer: &Peer) -> Millis {
         if peer.load.zone == self.zone {
             NEAR_HOP
@@ -102,17 +143,3 @@
         }
     }
 }
-
-impl Peer {
-    /// Returns the free slots that this process may count on: its part of those reported, less
-    /// what it forwarded since.
-    fn left(&self, senders: f64, now: Millis) -> f64 {
-        let age = now.since(self.reported);
-        if age >= MAX_REPORT_AGE {
-            return 0.0;
-        }
-        let fresh = 0.5_f64.powf(age.get() as f64 / REPORT_HALF_LIFE.get() as f64);
-        let free = f64::from(self.load.free_slots) * fresh;
-        (free / senders).max(free.min(1.0)) - f64::from(self.forwarded)
-    }
-}
--- a/src/routing/service/mod.rs
+++ b/src/routing/service/mod.rs
@@ -9,7 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::fleet::Fleet;
-use super::peers::Peers;
+use super::peers::{Backlog, Peers};
 use super::tracked::Tracked;
 use super::{Arrival, EndpointShare, PeerLoad, RequestId, ServiceLoad, Verdict};
 use crate::admission::{LatencyWindow, Refusal, ServiceQueue, Ticket};
@@ -27,6 +27,9 @@
 /// Service time that is assumed before the first answer.
 const INITIAL_SERVICE_MS: f64 = 10.0;
 
+/// Longest time to drain a queue that is reported, in milliseconds.
+const MAX_DRAIN_MS: f64 = 60_000.0;
+
 /// Hint given with a refusal that is not caused by load.
 const RETRY_AFTER: Millis = Millis::from_secs(1);
 
@@ -146,17 +149,16 @@
 
     /// Returns the load for heartbeats and metrics.
     pub fn load(&self) -> ServiceLoad {
-        let class = self.policy.as_ref().map(|p| &p.spec.default_class);
         let free_slots = self.fleet.free();
-        let queue_delay = match class {
-            Some(class) if free_slots == 0 => self.expected_wait(class, &None),
-            _ => None,
+        let queue_delay = match free_slots {
+            0 => self.backlog().drain,
+            _ => Millis::ZERO,
         };
         ServiceLoad {
             free_slots,
             in_progress: self.fleet.in_progress(),
             queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
-            queue_delay: queue_delay.unwrap_or(Millis::ZERO),
+            queue_delay,
             p50: self.latency.quantile(500).unwrap_or(Millis::ZERO),
             p99: self.latency.quantile(990).unwrap_or(Millis::ZERO),
             ejected: self.fleet.ejected(),
@@ -192,9 +194,18 @@
 
     /// Estimates the wait of a new request while no slot is free.
     fn expected_wait(&self, class: &ClassName, team: &Option<TeamId>) -> Option<Millis> {
+        let capacity = self.backlog().capacity;
+        self.queue.expected_wait(class, team, capacity)
+    }
+
+    fn backlog(&self) -> Backlog {
         let mean = self.latency.mean().unwrap_or(INITIAL_SERVICE_MS);
         let capacity = f64::from(self.fleet.capacity()) / mean;
-        self.queue.expected_wait(class, team, capacity)
+        let drain = (self.queue.len() as f64 + 1.0) / capacity;
+        Backlog {
+            drain: Millis(drain.min(MAX_DRAIN_MS).ceil() as u64),
+            capacity,
+        }
     }
 
     /// Refuses waiting requests that the bundle no longer allows.
--- a/src/routing/service/waiting.rs
+++ b/src/routing/service/waiting.rs
@@ -34,7 +34,8 @@
             true => self.expected_wait(class, team),
             false => None,
         };
-        if !forwarded && let Some(peer) = self.peers.choose(wait, &mut self.rng, now) {
+        let backlog = self.backlog();
+        if !forwarded && let Some(peer) = self.peers.choose(wait, backlog, &mut self.rng, now) {
             return Verdict::Forward(peer);
         }
         if !usable {
