Add drains, the verbs for jobs and views, and audit entries for jobs

Cause: operators had no way to take a worker out of use or to see jobs and peers. Change: a drain record in the store that spreads by heartbeats, eviction from drained workers, verbs job, status, workers, endpoints, peers, drain and undrain.

--- a/src/batch/node.rs
+++ b/src/batch/node.rs
@@ -94,6 +94,13 @@
         evicted
     }
 
+    /// Evicts all running attempts from a drained worker of an own rack, within the budget.
+    pub fn evict_all(&self, worker: &VmId) {
+        let now = self.now();
+        self.racks.lock().evict_all(worker, now);
+        self.wake.notify_one();
+    }
+
     /// Lists quarantined workers of own racks.
     pub fn quarantined(&self) -> Vec<VmId> {
         self.racks.lock().quarantined()
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -6,12 +6,15 @@
 use super::bundle::{BundleVerb, bundle};
 use super::check::{Check, check};
 use super::dev::{Dev, dev};
+use super::drain::{Drain, drain};
+use super::job::{JobVerb, job};
 use super::key::{KeyVerb, key};
 use super::serve::{Serve, serve};
+use super::view::{View, view};
 use super::{CliError, Output};
 
 /// What the program is asked to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Command {
     /// Runs the daemon.
     Serve(Serve),
@@ -25,6 +28,12 @@
     Key(KeyVerb),
     /// Reads the audit trail.
     Audit(AuditVerb),
+    /// Submits and shows batch jobs.
+    Job(JobVerb),
+    /// Shows the state of an entry process.
+    View(View),
+    /// Takes workers and zones out of use.
+    Drain(Drain),
 }
 
 /// Options of the whole program.
@@ -35,7 +44,10 @@
     let bundle = bundle().map(Command::Bundle);
     let key = key().map(Command::Key);
     let audit = audit().map(Command::Audit);
-    construct!([serve, dev, check, bundle, key, audit])
+    let job = job().map(Command::Job);
+    let view = view().map(Command::View);
+    let drain = drain().map(Command::Drain);
+    construct!([serve, dev, check, bundle, key, audit, job, view, drain])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Scheduler for colocated latency-critical and batch work")
@@ -55,6 +67,9 @@
             Self::Bundle(verb) => verb.run().await,
             Self::Key(verb) => verb.run().await,
             Self::Audit(verb) => verb.run().await,
+            Self::Job(verb) => verb.run().await,
+            Self::View(verb) => verb.run().await,
+            Self::Drain(verb) => verb.run().await,
         }
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,11 +6,14 @@
 mod check;
 mod command;
 mod dev;
+mod drain;
 mod exit;
+mod job;
 mod key;
 mod output;
 mod secret_file;
 mod serve;
+mod view;
 
 use std::process::ExitCode;
 
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -9,7 +9,8 @@
 use tokio::time::Instant;
 
 use super::daemon_metrics::DaemonMetrics;
-use super::feeder::Feeder;
+use super::drain_calls::DrainCalls;
+use super::feeder::{Feeder, FeederParts};
 use super::health::Health;
 use super::job_calls::JobCalls;
 use super::local::Local;
@@ -18,6 +19,7 @@
 use crate::audit::AuditTrail;
 use crate::batch::{BatchNode, BatchParts, BatchService, PEER_PATH, PeerCalls};
 use crate::bundle::{ActiveBundle, BundleDesk, BundleKeeper, Trust};
+use crate::drain::DrainDesk;
 use crate::membership::{Ownership, Timing};
 use crate::peer::{MemberNode, NodeConfig, PeerService};
 use crate::platform::{HttpAgent, HttpStore, HttpVmList, Store, wall_clock};
@@ -73,7 +75,10 @@
         let keeper = Arc::new(BundleKeeper::new(trust.clone(), active.clone()));
         let seed = rand::rng().next_u64();
         let dispatcher = Arc::new(Mutex::new(Dispatcher::new(cfg.node.zone.clone(), seed)));
+        let records = Arc::new(Records::new(store.clone(), member.clone()));
+        let drains = Arc::new(DrainDesk::new(records.clone(), &cfg.node.region));
         let local = Arc::new(Local {
+            drains: drains.clone(),
             keeper: keeper.clone(),
             dispatcher: dispatcher.clone(),
             feeder: OnceLock::new(),
@@ -108,27 +113,33 @@
             calls: Arc::new(PeerCalls::new(ownership)),
             seed,
         });
-        let feeder = Feeder::new(
-            node.clone(),
-            keeper.clone(),
-            proxy.clone(),
-            dispatcher.clone(),
-            batch.clone(),
+        let feeder = Feeder::new(FeederParts {
+            node: node.clone(),
+            keeper: keeper.clone(),
+            proxy: proxy.clone(),
+            dispatcher: dispatcher.clone(),
+            batch: batch.clone(),
             clock,
-            cfg.node.region.clone(),
-        );
+            region: cfg.node.region.clone(),
+            drains: drains.clone(),
+        });
         let _ = local.feeder.set(feeder.clone());
-        tokio::spawn(feeder.run(background.clone()));
+        tokio::spawn(feeder.clone().run(background.clone()));
+        tokio::spawn(feeder.follow_drains(background.clone()));
         tokio::spawn(batch.clone().run(background.clone()));
         let followed = (keeper.clone(), store.clone(), background.clone());
         tokio::spawn(async move { followed.0.run(followed.1, followed.2).await });
 
-        let records = Arc::new(Records::new(store, member.clone()));
         let audit = Arc::new(AuditTrail::new(records.clone(), wall_clock()));
-        let desk = BundleDesk::new(records, trust, audit, keeper.clone(), wall_clock());
+        let desk = BundleDesk::new(records, trust, audit.clone(), keeper.clone(), wall_clock());
         let admin_service = AdminService::new(Arc::new(desk), keeper.clone())
             .extend(Arc::new(JobCalls {
                 batch: batch.clone(),
+                audit: audit.clone(),
+            }))
+            .extend(Arc::new(DrainCalls {
+                desk: drains,
+                audit,
             }))
             .extend(Arc::new(StatusCalls {
                 node: node.clone(),
--- a/src/daemon/feeder.rs
+++ b/src/daemon/feeder.rs
@@ -9,6 +9,7 @@
 use super::key_snapshot::KeySnapshot;
 use crate::batch::BatchNode;
 use crate::bundle::{BundleInForce, BundleKeeper};
+use crate::drain::{DrainDesk, Drained};
 use crate::peer::{MemberNode, PeerNews, ViewNews, VmNews};
 use crate::prelude::*;
 use crate::proxy::{Clock, Proxy};
@@ -18,6 +19,12 @@
 /// Longest time between two rounds; ages of peers' reports are refreshed by them.
 const ROUND: Duration = Duration::from_millis(250);
 
+/// Interval at which watchers read the drain record.
+const WATCHER_ROUND: Duration = Duration::from_secs(2);
+
+/// Interval at which other processes read the drain record until they know one.
+const FALLBACK_ROUND: Duration = Duration::from_secs(30);
+
 /// Reports of peers that are older than this are not used.
 const PEER_REPORT_LIMIT: Millis = Millis(5000);
 
@@ -27,60 +34,52 @@
     slots: watch::Receiver<Arc<BTreeMap<VmId, u32>>>,
     bundle: Option<Arc<BundleInForce>>,
     epoch: Epoch,
+    drained: Drained,
 }
 
 /// Applies published values to the modules that decide by them.
 pub(super) struct Feeder {
-    node: Arc<MemberNode>,
-    keeper: Arc<BundleKeeper>,
-    proxy: Proxy,
-    dispatcher: Arc<Mutex<Dispatcher>>,
-    batch: Arc<BatchNode>,
-    clock: Clock,
-    region: RegionId,
+    parts: FeederParts,
     applied: Mutex<Applied>,
 }
 
+/// Modules that a feeder connects.
+pub(super) struct FeederParts {
+    pub(super) node: Arc<MemberNode>,
+    pub(super) keeper: Arc<BundleKeeper>,
+    pub(super) proxy: Proxy,
+    pub(super) dispatcher: Arc<Mutex<Dispatcher>>,
+    pub(super) batch: Arc<BatchNode>,
+    pub(super) clock: Clock,
+    pub(super) region: RegionId,
+    pub(super) drains: Arc<DrainDesk>,
+}
+
 impl Feeder {
-    pub(super) fn new(
-        node: Arc<MemberNode>,
-        keeper: Arc<BundleKeeper>,
-        proxy: Proxy,
-        dispatcher: Arc<Mutex<Dispatcher>>,
-        batch: Arc<BatchNode>,
-        clock: Clock,
-        region: RegionId,
-    ) -> Arc<Self> {
+    pub(super) fn new(parts: FeederParts) -> Arc<Self> {
         let applied = Mutex::new(Applied {
-            vms: node.watch_vms(),
-            slots: node.watch_slots(),
+            vms: parts.node.watch_vms(),
+            slots: parts.node.watch_slots(),
             bundle: None,
             epoch: Epoch(0),
+            drained: Drained::default(),
         });
-        Arc::new(Self {
-            node,
-            keeper,
-            proxy,
-            dispatcher,
-            batch,
-            clock,
-            region,
-            applied,
-        })
+        Arc::new(Self { parts, applied })
     }
 
     /// Applies changes as they are published until `cancel` fires.
     pub(super) async fn run(self: Arc<Self>, cancel: CancellationToken) {
-        let mut vms = self.node.watch_vms();
-        let mut slots = self.node.watch_slots();
-        let mut view = self.node.watch_view();
-        let mut peers = self.node.watch_peers();
-        let mut versions = self.keeper.subscribe();
+        let mut vms = self.parts.node.watch_vms();
+        let mut slots = self.parts.node.watch_slots();
+        let mut view = self.parts.node.watch_view();
+        let mut peers = self.parts.node.watch_peers();
+        let mut versions = self.parts.keeper.subscribe();
         loop {
             self.apply_view(&view.borrow_and_update().clone());
             self.apply_endpoints();
             self.apply_peers(&view.borrow().clone(), &peers.borrow_and_update().clone());
-            self.keeper.set_watcher(self.node.is_watcher());
+            self.parts.keeper.set_watcher(self.parts.node.is_watcher());
+            self.empty_drained();
             tokio::select! {
                 () = cancel.cancelled() => return,
                 () = tokio::time::sleep(ROUND) => {}
@@ -92,31 +91,71 @@
         }
     }
 
+    /// Follows the drain record while this process is a watcher; peers learn by heartbeats.
+    pub(super) async fn follow_drains(self: Arc<Self>, cancel: CancellationToken) {
+        while !cancel.is_cancelled() {
+            let known = self.parts.drains.drained().record().serial > 0;
+            if (self.parts.node.is_watcher() || !known)
+                && let Err(err) = self.parts.drains.refresh().await
+            {
+                tracing::debug!(%err, "drain record cannot be read");
+            }
+            let pause = if self.parts.node.is_watcher() {
+                WATCHER_ROUND
+            } else {
+                FALLBACK_ROUND
+            };
+            tokio::select! {
+                () = cancel.cancelled() => return,
+                () = tokio::time::sleep(pause) => {}
+            }
+        }
+    }
+
     /// Applies the newest bundle, VM list and slots to the request path, if they changed.
     ///
     /// The membership calls this before it counts slots in use, so that slots that were given up
     /// get no new request after the count.
     pub(super) fn apply_endpoints(&self) {
         let mut applied = self.applied.lock();
-        let bundle = self.keeper.active().current();
+        let bundle = self.parts.keeper.active().current();
         let bundle_changed = bundle.as_ref().map(|held| held.version)
             != applied.bundle.as_ref().map(|held| held.version);
         let vms_changed = applied.vms.has_changed().unwrap_or(false);
         let slots_changed = applied.slots.has_changed().unwrap_or(false);
         if let Some(bundle) = bundle.filter(|_| bundle_changed) {
-            self.dispatcher.lock().configure(&bundle, self.clock.now());
+            self.parts
+                .dispatcher
+                .lock()
+                .configure(&bundle, self.parts.clock.now());
             applied.bundle = Some(bundle);
         }
-        if !bundle_changed && !vms_changed && !slots_changed {
+        let drained = self.parts.drains.drained();
+        let drained_changed = drained != applied.drained;
+        applied.drained = drained;
+        if !bundle_changed && !vms_changed && !slots_changed && !drained_changed {
             return;
         }
         let vms = applied.vms.borrow_and_update().clone();
         let slots = applied.slots.borrow_and_update().clone();
+        let vms = VmNews {
+            vms: applied.drained.mark(&vms.vms),
+            leaving: vms.leaving.clone(),
+        };
         for (service, shares) in self.shares(&vms, &slots, applied.bundle.as_deref()) {
-            self.proxy.set_endpoints(&service, shares);
+            self.parts.proxy.set_endpoints(&service, shares);
         }
-        if vms_changed || bundle_changed {
-            self.batch.set_vms(&vms.vms);
+        if vms_changed || bundle_changed || drained_changed {
+            self.parts.batch.set_vms(&vms.vms);
+        }
+    }
+
+    /// Evicts tasks from drained workers of own racks, as far as the budget allows.
+    fn empty_drained(&self) {
+        let drained = self.applied.lock().drained.clone();
+        let news = self.parts.node.watch_vms().borrow().clone();
+        for vm in news.vms.iter().filter(|vm| drained.covers(vm)) {
+            self.parts.batch.evict_all(&vm.vm);
         }
     }
 
@@ -126,11 +165,13 @@
             return;
         }
         applied.epoch = news.epoch;
-        self.proxy.adopt_view(Arc::new(KeySnapshot::new(news)));
+        self.parts
+            .proxy
+            .adopt_view(Arc::new(KeySnapshot::new(news)));
     }
 
     fn apply_peers(&self, view: &ViewNews, peers: &BTreeMap<MemberId, PeerNews>) {
-        let now = self.node.now();
+        let now = self.parts.node.now();
         let mut loads: BTreeMap<ServiceId, Vec<PeerLoad>> = BTreeMap::new();
         for member in &view.members {
             let Some(news) = peers.get(&member.id) else {
@@ -153,15 +194,15 @@
                     });
             }
         }
-        let mut dispatcher = self.dispatcher.lock();
+        let mut dispatcher = self.parts.dispatcher.lock();
         for service in self.services() {
             let peers = loads.remove(&service).unwrap_or_default();
-            dispatcher.set_peers(&service, peers, self.clock.now());
+            dispatcher.set_peers(&service, peers, self.parts.clock.now());
         }
     }
 
     fn services(&self) -> BTreeSet<ServiceId> {
-        let bundle = self.keeper.active().current();
+        let bundle = self.parts.keeper.active().current();
         bundle
             .map(|held| held.bundle.service.keys().cloned().collect())
             .unwrap_or_default()
@@ -180,7 +221,7 @@
         for (service, _) in known {
             shares.entry(service.clone()).or_default();
         }
-        for vm in news.vms.iter().filter(|vm| vm.region == self.region) {
+        for vm in news.vms.iter().filter(|vm| vm.region == self.parts.region) {
             let Some((service, share)) = share(vm, news, slots) else {
                 continue;
             };
--- a/src/daemon/job_calls.rs
+++ b/src/daemon/job_calls.rs
@@ -4,14 +4,19 @@
 use http::Method;
 
 use crate::admin::{AdminAnswer, AdminExtension};
+use crate::audit::{AuditDraft, AuditTrail};
 use crate::batch::{BatchNode, Refusal};
 use crate::prelude::*;
 use crate::schema::batch::{JobFilter, JobSpec};
-use crate::schema::config::{ErrorKind, OperatorRecord, Role};
+use crate::schema::config::{AuditAction, AuditOutcome, ErrorKind, OperatorRecord, Role};
+
+/// Longest text about the changed jobs in the audit trail.
+const MAX_DETAIL_CHARS: usize = 300;
 
 /// Serves `/jobs`, `/jobs/list`, `/jobs/cancel` and `/jobs/<id>`.
 pub(super) struct JobCalls {
     pub(super) batch: Arc<BatchNode>,
+    pub(super) audit: Arc<AuditTrail>,
 }
 
 impl JobCalls {
@@ -23,12 +28,10 @@
         if !operator.may_change(&spec.team) {
             return forbidden(&spec.team);
         }
-        answer(
-            self.batch
-                .submit(spec)
-                .await
-                .map(|job| serde_json::json!({ "job": job })),
-        )
+        let subject = format!("submission {} of team {}", spec.key, spec.team);
+        let result = self.batch.submit(spec).await;
+        self.note(operator, subject, &result).await;
+        answer(result.map(|job| serde_json::json!({ "job": job })))
     }
 
     async fn list(&self, body: &[u8]) -> AdminAnswer {
@@ -53,7 +56,38 @@
         if let Some(job) = foreign {
             return forbidden(&job.spec.team);
         }
-        answer(self.batch.cancel(&filter).await)
+        let result = self.batch.cancel(&filter).await;
+        self.note(operator, "cancellation".to_string(), &result)
+            .await;
+        answer(result)
+    }
+
+    /// Adds a change to the audit trail; the change itself is durable already.
+    async fn note<T: serde::Serialize>(
+        &self,
+        operator: &OperatorRecord,
+        subject: String,
+        result: &Result<T, Refusal>,
+    ) {
+        let (outcome, detail) = match result {
+            Ok(data) => (
+                AuditOutcome::Done,
+                serde_json::to_string(data).unwrap_or_default(),
+            ),
+            Err(Refusal::Unknown(err)) => (AuditOutcome::Unknown, err.clone()),
+            Err(err) => (AuditOutcome::Refused, err.to_string()),
+        };
+        let draft = AuditDraft {
+            who: operator.name.clone(),
+            action: AuditAction::Job,
+            subject,
+            version: None,
+            outcome,
+            detail: detail.chars().take(MAX_DETAIL_CHARS).collect(),
+        };
+        if let Err(err) = self.audit.append(&draft).await {
+            tracing::warn!(%err, "change of jobs is not in the audit trail");
+        }
     }
 
     async fn show(&self, id: &str) -> AdminAnswer {
--- a/src/daemon/local.rs
+++ b/src/daemon/local.rs
@@ -7,15 +7,20 @@
 
 use super::feeder::Feeder;
 use crate::bundle::BundleKeeper;
+use crate::drain::DrainDesk;
 use crate::peer::LocalState;
 use crate::prelude::*;
 use crate::routing::Dispatcher;
 use crate::schema::peer::ServiceLoad;
 
+/// Name of the drain record among the digests of a heartbeat.
+const DRAIN_DIGEST: &str = "drain";
+
 /// State of this process that heartbeats carry.
 pub(super) struct Local {
     pub(super) keeper: Arc<BundleKeeper>,
     pub(super) dispatcher: Arc<Mutex<Dispatcher>>,
+    pub(super) drains: Arc<DrainDesk>,
     pub(super) feeder: OnceLock<Arc<Feeder>>,
 }
 
@@ -53,6 +58,20 @@
         self.keeper.export()
     }
 
+    fn digests(&self) -> BTreeMap<String, Vec<u8>> {
+        let drains = self.drains.export();
+        drains
+            .map(|buf| (DRAIN_DIGEST.to_string(), buf))
+            .into_iter()
+            .collect()
+    }
+
+    fn take_digests(&self, _from: &MemberId, digests: &BTreeMap<String, Vec<u8>>) {
+        if let Some(buf) = digests.get(DRAIN_DIGEST) {
+            self.drains.offer(buf);
+        }
+    }
+
     fn offer_bundle(&self, bundle: Vec<u8>) {
         match self.keeper.offer(&bundle) {
             Ok(true) => {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The daemon of an entry VM: wires the modules together.
 
 mod daemon_metrics;
+mod drain_calls;
 mod entry;
 mod feeder;
 mod health;
--- a/src/dev/scenario.rs
+++ b/src/dev/scenario.rs
@@ -78,6 +78,7 @@
 
         let bundle_time = self.roll_out().await?;
         self.silence_connections();
+        self.drain_worker().await?;
         tokio::time::sleep(STEP).await;
 
         let graceful = self.stop_entry().await;
@@ -157,6 +158,19 @@
         }
     }
 
+    /// Drains the busiest worker, so that its tasks are evicted and resume elsewhere.
+    async fn drain_worker(&self) -> Result<(), DevError> {
+        let workers = &self.installation.platform.workers;
+        let busiest = workers
+            .iter()
+            .max_by_key(|worker| worker.agent.inspect(|state| state.reserved().cpu));
+        if let Some(worker) = busiest {
+            let body = serde_json::json!({ "target": { "worker": worker.vm }, "drained": true });
+            self.installation.call_admin("/drain", &body).await?;
+        }
+        Ok(())
+    }
+
     /// Stops an entry process gracefully while requests are in progress on it.
     async fn stop_entry(&mut self) -> Promise {
         let mut graceful = Promise::new("P8 graceful shutdown cuts off no request");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod daemon;
 pub mod dedup;
 pub mod dev;
+pub mod drain;
 pub mod error;
 pub mod ini;
 pub mod membership;
--- a/src/placement/correct.rs
+++ b/src/placement/correct.rs
@@ -145,6 +145,19 @@
         };
         true
     }
+
+    /// Evicts all running attempts from a worker, as far as the eviction budget allows.
+    pub fn evict_all(&mut self, worker: &VmId, now: Millis) {
+        let tasks: Vec<TaskId> = self
+            .slots
+            .get(worker)
+            .and_then(|slot| self.books.get(slot))
+            .map(|book| book.entries.keys().cloned().collect())
+            .unwrap_or_default();
+        for task in tasks {
+            self.evict(worker, &task, now);
+        }
+    }
 }
 
 fn is_slow(book: &WorkerBook, bundle: &Bundle, now: Millis) -> Option<bool> {
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -16,3 +16,5 @@
 pub mod vm;
 #[rustfmt::skip]
 pub mod worker;
+#[rustfmt::skip]
+pub mod drain;
