Feed the batch side when ownership changes without a change of the VM list

Cause: after a start the job shards had owners but no worker was claimed until the VM list changed, because ownership was evaluated only then. Change: the daemon feeds the VM list at least once a second.

--- a/src/daemon/feeder.rs
+++ b/src/daemon/feeder.rs
@@ -19,6 +19,9 @@
 /// Longest time between two rounds; ages of peers' reports are refreshed by them.
 const ROUND: Duration = Duration::from_millis(250);
 
+/// Longest time between two looks of the batch side at the VM list and the owned racks.
+const BATCH_FEED_INTERVAL: Millis = Millis(1000);
+
 /// Interval at which watchers read the drain record.
 const WATCHER_ROUND: Duration = Duration::from_secs(2);
 
@@ -35,6 +38,7 @@
     bundle: Option<Arc<BundleInForce>>,
     epoch: Epoch,
     drained: Drained,
+    batch_fed: Millis,
 }
 
 /// Applies published values to the modules that decide by them.
@@ -63,6 +67,7 @@
             bundle: None,
             epoch: Epoch(0),
             drained: Drained::default(),
+            batch_fed: Millis::ZERO,
         });
         Arc::new(Self { parts, applied })
     }
@@ -133,9 +138,13 @@
         let drained = self.parts.drains.drained();
         let drained_changed = drained != applied.drained;
         applied.drained = drained;
-        if !bundle_changed && !vms_changed && !slots_changed && !drained_changed {
+        // Ownership of racks changes without a change of the list, when others let go of them.
+        let now = self.parts.clock.now();
+        let is_due = now.since(applied.batch_fed) >= BATCH_FEED_INTERVAL;
+        if !bundle_changed && !vms_changed && !slots_changed && !drained_changed && !is_due {
             return;
         }
+        applied.batch_fed = now;
         let vms = applied.vms.borrow_and_update().clone();
         let slots = applied.slots.borrow_and_update().clone();
         let vms = VmNews {
@@ -145,9 +154,7 @@
         for (service, shares) in self.shares(&vms, &slots, applied.bundle.as_deref()) {
             self.parts.proxy.set_endpoints(&service, shares);
         }
-        if vms_changed || bundle_changed || drained_changed {
-            self.parts.batch.set_vms(&vms.vms);
-        }
+        self.parts.batch.set_vms(&vms.vms);
     }
 
     /// Evicts tasks from drained workers of own racks, as far as the budget allows.
