Forward to busy peers only from a process without slots

A process that holds no usable slot ranks peers by their queues instead of refusing while no peer has free slots. The number of processes that act on the same report is estimated from the queues that were reported, so a free slot is no longer left to senders that have no queue. Limits are cut by a fifth at most.

--- a/src/admission/concurrency_limit.rs
+++ b/src/admission/concurrency_limit.rs
@@ -13,7 +13,7 @@
 const TOLERANCE: f64 = 2.0;
 
 /// Largest reduction in one review.
-const MIN_GRADIENT: f64 = 0.6;
+const MIN_GRADIENT: f64 = 0.8;
 
 /// Reviews in a row with a high median before the limit is reduced; short phases of slowness at
 /// small limits would otherwise cost more capacity than they take.
--- a/src/routing/peers.rs
+++ b/src/routing/peers.rs
@@ -76,7 +76,8 @@
 
     /// Chooses a peer that is expected to serve a request sooner.
     ///
-    /// `wait` is the expected wait here; `None` stands for a request that cannot be served here.
+    /// `wait` is the expected wait here; `None` stands for a process that cannot serve at all and
+    /// therefore forwards even to busy peers.
     pub fn choose(
         &mut self,
         wait: Option<Millis>,
@@ -86,8 +87,10 @@
     ) -> Option<MemberId> {
         let candidates: Vec<usize> = (0..self.peers.len())
             .filter(|&at| {
-                let hop = self.hop(&self.peers[at]);
-                wait.is_none_or(|wait| wait > hop) && self.room(at, wait, backlog, now) >= 1.0
+                let peer = &self.peers[at];
+                let fresh = now.since(peer.reported) < MAX_REPORT_AGE;
+                let sooner = |wait| wait > self.hop(peer) && self.room(at, backlog, now) >= 1.0;
+                fresh && wait.is_none_or(sooner)
             })
             .collect();
         if candidates.is_empty() {
@@ -97,7 +100,11 @@
         let second = candidates[rng.random_range(0..candidates.len())];
         let rank = |at: usize| {
             let peer = &self.peers[at];
-            (self.hop(peer), -self.room(at, wait, backlog, now))
+            let hop = self.hop(peer);
+            match wait {
+                Some(_) => (hop, -self.room(at, backlog, now)),
+                None => (hop + peer.load.queue_delay, f64::from(peer.forwarded)),
+            }
         };
         let best = if rank(second) < rank(first) {
             second
@@ -112,20 +119,14 @@
     ///
     /// A peer with free slots gets this process's part of them. A peer with a shorter queue gets
     /// this process's part of half the difference, since every process may act on the same report.
-    fn room(&self, at: usize, wait: Option<Millis>, backlog: Backlog, now: Millis) -> f64 {
+    fn room(&self, at: usize, backlog: Backlog, now: Millis) -> f64 {
         let peer = &self.peers[at];
         let age = now.since(peer.reported);
-        if age >= MAX_REPORT_AGE {
-            return 0.0;
-        }
-        let senders = self.peers.len() as f64;
+        let senders = self.senders(at);
         let fresh = 0.5_f64.powf(age.get() as f64 / REPORT_HALF_LIFE.get() as f64);
         let free = f64::from(peer.load.free_slots) * fresh;
-        let gain = match wait {
-            Some(_) => backlog.drain.get() as f64,
-            None => MAX_REPORT_AGE.get() as f64,
-        };
-        let gain = gain - (self.hop(peer) + peer.load.queue_delay).get() as f64;
+        let delay = self.hop(peer) + peer.load.queue_delay;
+        let gain = backlog.drain.since(delay).get() as f64;
         let shorter = if gain > MIN_GAIN.get() as f64 {
             gain / 2.0 * backlog.capacity * fresh
         } else {
@@ -135,6 +136,17 @@
         part.max(free.min(1.0)) - f64::from(peer.forwarded)
     }
 
+    /// Returns the number of processes that probably forward to a peer: this one and those whose
+    /// queue is longer than the peer's.
+    fn senders(&self, at: usize) -> f64 {
+        let delay = self.peers[at].load.queue_delay;
+        let longer = self
+            .peers
+            .iter()
+            .filter(|other| other.load.queue_delay > delay + MIN_GAIN);
+        1.0 + longer.count() as f64
+    }
+
     fn hop(&self, peer: &Peer) -> Millis {
         if peer.load.zone == self.zone {
             NEAR_HOP
--- a/src/routing/service/mod.rs
+++ b/src/routing/service/mod.rs
@@ -27,6 +27,10 @@
 /// Service time that is assumed before the first answer.
 const INITIAL_SERVICE_MS: f64 = 10.0;
 
+/// Requests per millisecond that a process without slots is assumed to serve, so that it ranks
+/// peers by their queues.
+const MIN_CAPACITY: f64 = 0.001;
+
 /// Longest time to drain a queue that is reported, in milliseconds.
 const MAX_DRAIN_MS: f64 = 60_000.0;
 
@@ -200,7 +204,7 @@
 
     fn backlog(&self) -> Backlog {
         let mean = self.latency.mean().unwrap_or(INITIAL_SERVICE_MS);
-        let capacity = f64::from(self.fleet.capacity()) / mean;
+        let capacity = (f64::from(self.fleet.capacity()) / mean).max(MIN_CAPACITY);
         let drain = (self.queue.len() as f64 + 1.0) / capacity;
         Backlog {
             drain: Millis(drain.min(MAX_DRAIN_MS).ceil() as u64),
--- a/src/routing/service/waiting.rs
+++ b/src/routing/service/waiting.rs
@@ -9,6 +9,9 @@
 /// Waiting requests that may be passed over because the free endpoint is not for them.
 const MAX_PASSED_OVER: usize = 16;
 
+/// Wait of a request whose class has no prospect of being served.
+const MAX_WAIT: Millis = Millis::from_secs(60);
+
 impl Service {
     /// Expires waiting requests and sends those for which there is a slot.
     pub fn tick(&mut self, now: Millis) -> Vec<(RequestId, Verdict)> {
@@ -30,12 +33,10 @@
     pub(super) fn wait(&mut self, req: Tracked, forwarded: bool, now: Millis) -> Verdict {
         let (class, team) = (&req.ticket.class, &req.ticket.team);
         let usable = self.fleet.has_usable(None) || self.fleet.is_available(now);
-        let wait = match usable {
-            true => self.expected_wait(class, team),
-            false => None,
-        };
+        let wait = self.expected_wait(class, team);
+        let here = usable.then(|| wait.unwrap_or(MAX_WAIT));
         let backlog = self.backlog();
-        if !forwarded && let Some(peer) = self.peers.choose(wait, backlog, &mut self.rng, now) {
+        if !forwarded && let Some(peer) = self.peers.choose(here, backlog, &mut self.rng, now) {
             return Verdict::Forward(peer);
         }
         if !usable {
