Record a keyed answer before its caller sees the end of it

A repeat sent right after the answer found the key in progress and was told that the outcome is unknown (seen once in repeat_through_any_process).

--- a/src/dedup/known.rs
+++ b/src/dedup/known.rs
@@ -89,17 +89,12 @@
         matches!(self, Self::Ended(Completion::NotRun))
     }
 
-    /// Tells whether `other`, learned from another holder, says more than `self`.
-    ///
-    /// A refusal never replaces anything that may have run under another attempt.
-    pub(super) fn yields_to(&self, other: &Self, same_attempt: bool) -> bool {
+    /// Tells whether `other` says more about the same attempt than `self`.
+    pub(super) fn yields_to(&self, other: &Self) -> bool {
         match (self, other) {
-            (Self::Ended(Completion::Answered(_)), _) | (Self::InProgress, Self::InProgress) => {
-                false
-            }
-            (_, Self::Ended(Completion::Answered(_))) => true,
-            (Self::InProgress, Self::Ended(_)) => same_attempt,
-            (Self::Ended(_), _) => self.is_not_run() && !same_attempt && !other.is_not_run(),
+            (Self::Ended(Completion::Answered(_)), _) | (_, Self::InProgress) => false,
+            (_, Self::Ended(Completion::Answered(_))) | (Self::InProgress, _) => true,
+            (Self::Ended(_), _) => false,
         }
     }
 
--- a/src/dedup/table.rs
+++ b/src/dedup/table.rs
@@ -15,6 +15,24 @@
     known: Known,
 }
 
+impl Entry {
+    /// Merges another attempt that may have run, from a message that was held up.
+    ///
+    /// One of the two has expired where it was recorded, but this table cannot tell which: it
+    /// remembers the key for as long as either and gives no answer that may be the older one's.
+    fn overlap(&self, other: &Self) -> Self {
+        let known = match self.known {
+            Known::InProgress => Known::InProgress,
+            Known::Ended(_) => Known::Ended(Completion::Unknown),
+        };
+        Self {
+            expires_at: self.expires_at.max(other.expires_at),
+            known,
+            ..self.clone()
+        }
+    }
+}
+
 /// Records of idempotency keys, bounded in age, count and bytes.
 ///
 /// Keys are never dropped before they expire, since a repeat would run again; answers may be.
@@ -116,7 +134,7 @@
             return false;
         };
         let known = Known::Ended(completion);
-        if entry.attempt != *attempt || !entry.known.yields_to(&known, true) {
+        if entry.attempt != *attempt || !entry.known.yields_to(&known) {
             return false;
         }
         let mut entry = entry.clone();
@@ -131,15 +149,17 @@
     pub fn merge(&mut self, record: &KeyRecord, now: Millis) {
         self.expire(now);
         let known = Known::from_record(record);
-        if let Some(entry) = self.entries.get(&record.key)
-            && !entry
-                .known
-                .yields_to(&known, entry.attempt == record.attempt)
-        {
-            return;
-        }
         let entry = self.entry_of(record, now);
-        if entry.expires_at > now {
+        let merged = match self.entries.get(&record.key) {
+            None => Some(entry).filter(|entry| entry.expires_at > now && !known.is_not_run()),
+            Some(held) if held.attempt == entry.attempt => {
+                Some(entry).filter(|_| held.known.yields_to(&known))
+            }
+            Some(_) if known.is_not_run() => None,
+            Some(held) if held.known.is_not_run() => Some(entry),
+            Some(held) => Some(held.overlap(&entry)),
+        };
+        if let Some(entry) = merged {
             self.insert(&record.key, entry);
         }
     }
--- a/src/proxy/keys.rs
+++ b/src/proxy/keys.rs
@@ -104,17 +104,14 @@
         }
     }
 
-    /// Notes how an attempt ended; returns the record to be sent to the other holders.
-    pub(super) fn complete(
-        &self,
-        key: &str,
-        attempt: &WriterToken,
-        completion: Completion,
-        now: Millis,
-    ) -> Option<KeyRecord> {
-        let mut held = self.held.lock();
-        held.table.complete(key, attempt, completion);
-        held.table.export(key, now)
+    /// Notes how an attempt ended.
+    pub(super) fn complete(&self, key: &str, attempt: &WriterToken, completion: Completion) {
+        self.held.lock().table.complete(key, attempt, completion);
+    }
+
+    /// Returns the record of a key for the other holders.
+    pub(super) fn export(&self, key: &str, now: Millis) -> Option<KeyRecord> {
+        self.held.lock().table.export(key, now)
     }
 
     /// Takes over the record that the backup had before this process recorded the key.
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -36,11 +36,16 @@
 /// Time without progress of the caller after which its answer is given up.
 const CALLER_STALL: Duration = Duration::from_secs(10);
 
+/// Records how a keyed request ended.
+pub(super) type Record = Box<dyn FnOnce(Completion) + Send>;
+
 /// Where the answer of a request goes.
 pub(super) struct Outlet {
     pub(super) tx: Option<oneshot::Sender<Reply>>,
     /// Keeps a copy of at most this size for repeats of the key.
     pub(super) capture: Option<usize>,
+    /// Called before the caller sees the end of its answer, so that its next repeat is answered.
+    pub(super) record: Option<Record>,
 }
 
 impl Outlet {
@@ -48,6 +53,13 @@
     pub(super) fn reply(&mut self, reply: Reply) -> bool {
         self.tx.take().is_some_and(|tx| tx.send(reply).is_ok())
     }
+
+    /// Records how the request ended, once.
+    pub(super) fn record(&mut self, completion: Completion) {
+        if let Some(record) = self.record.take() {
+            record(completion);
+        }
+    }
 }
 
 /// Copy of an answer for repeats of its key; `None` once it is too large.
@@ -81,7 +93,7 @@
     call: &Call,
     victory: Victory,
     outlet: &mut Outlet,
-) -> (End, Completion) {
+) -> End {
     let Victory {
         won,
         version,
@@ -89,7 +101,7 @@
         others,
     } = victory;
     let (sent_at, status) = (won.sent_at, won.head.status);
-    let (end, completion) = pass_on(shared, call, *won, Some(version), outlet).await;
+    let end = pass_on(shared, call, *won, Some(version), outlet).await;
     // The slots of abandoned attempts are held until their connections are closed.
     let _ = others.await;
     let latency = shared.clock.now().since(sent_at);
@@ -99,7 +111,7 @@
         _ if status.is_server_error() => Outcome::Failure { latency },
         _ => Outcome::Success { latency },
     });
-    (end, completion)
+    end
 }
 
 /// Passes an answer on; `version` is absent if a peer has made the decision and stated it.
@@ -109,7 +121,7 @@
     won: Won,
     version: Option<Version>,
     outlet: &mut Outlet,
-) -> (End, Completion) {
+) -> End {
     let mut headers = strip_answer(&won.head.headers, version.is_none());
     if let Some(version) = version {
         headers.insert(BUNDLE_VERSION, header_value(version));
@@ -121,16 +133,7 @@
         body: ReplyBody::None,
         end: End::Answered,
     };
-    let recorded = |content: Option<Vec<u8>>, reply: (u16, Vec<RecordedHeader>)| {
-        content.map_or(Completion::Unknown, |body| {
-            Completion::Answered(Arc::new(RecordedAnswer {
-                status: reply.0,
-                headers: reply.1,
-                body,
-            }))
-        })
-    };
-    let head = (reply.status.as_u16(), recorded_headers(&reply));
+    let recorded = Recorded::of(&reply);
     match won.body {
         WonBody::Whole(content) => {
             capture.add(&content);
@@ -142,13 +145,12 @@
             } else {
                 ReplyBody::Whole(content)
             };
-            let end = if outlet.reply(reply) {
+            outlet.record(recorded.with(capture.content));
+            if outlet.reply(reply) {
                 End::Answered
             } else {
                 End::Abandoned
-            };
-            // The answer is whole whether or not the caller waited for it.
-            (end, recorded(capture.content, head))
+            }
         }
         WonBody::Stream(body, link) => {
             let (tx, rx) = mpsc::channel(PIECES);
@@ -160,9 +162,10 @@
                 caller: outlet.reply(reply).then_some(tx),
                 capture,
             };
-            let end = copy.run(body, link, &won.pool).await;
-            let content = copy.capture.content.filter(|_| end != End::CutOff);
-            (end, recorded(content, head))
+            copy.run(body, link, &won.pool, |content| {
+                outlet.record(recorded.with(content));
+            })
+            .await
         }
     }
 }
@@ -176,13 +179,20 @@
 
 impl Copy<'_> {
     /// Copies until the answer is whole, cut off or of no use to anybody.
-    async fn run(&mut self, mut body: Incoming, mut link: Link, pool: &super::Pool) -> End {
+    async fn run(
+        &mut self,
+        mut body: Incoming,
+        mut link: Link,
+        pool: &super::Pool,
+        mut record: impl FnMut(Option<Vec<u8>>),
+    ) -> End {
         let left = loop {
             match self.next(&mut body).await {
                 Ok(Some(data)) => {
                     self.capture.add(&data);
                     self.send(Ok(data)).await;
                     if self.caller.is_none() && self.capture.content.is_none() {
+                        record(None);
                         link.close().await;
                         return End::Abandoned;
                     }
@@ -190,12 +200,14 @@
                 Ok(None) => break self.caller.is_none(),
                 Err(err) => {
                     tracing::debug!(addr = %pool.addr(), %err, "answer was cut off");
+                    record(None);
                     link.close().await;
                     self.send(Err(err)).await;
                     return End::CutOff;
                 }
             }
         };
+        record(self.capture.content.take());
         if link.is_ready().await {
             pool.put_back(link);
         }
@@ -244,14 +256,35 @@
     call.head.method == http::Method::HEAD || matches!(reply.status.as_u16(), 204 | 304)
 }
 
-fn recorded_headers(reply: &Reply) -> Vec<RecordedHeader> {
-    let headers = reply.headers.iter();
-    headers
-        .filter_map(|(name, value)| {
+/// Head of an answer for repeats of its key.
+struct Recorded {
+    status: u16,
+    headers: Vec<RecordedHeader>,
+}
+
+impl Recorded {
+    fn of(reply: &Reply) -> Self {
+        let headers = reply.headers.iter();
+        let headers = headers.filter_map(|(name, value)| {
             Some(RecordedHeader {
                 name: name.to_string(),
                 value: value.to_str().ok()?.to_string(),
             })
+        });
+        Self {
+            status: reply.status.as_u16(),
+            headers: headers.collect(),
+        }
+    }
+
+    /// Completes the record; the answer is lost if its body was cut off or too large.
+    fn with(&self, content: Option<Vec<u8>>) -> Completion {
+        content.map_or(Completion::Unknown, |body| {
+            Completion::Answered(Arc::new(RecordedAnswer {
+                status: self.status,
+                headers: self.headers.clone(),
+                body,
+            }))
         })
-        .collect()
+    }
 }
--- a/tests/proxy_answers.rs
+++ b/tests/proxy_answers.rs
@@ -64,6 +64,17 @@
     assert_eq!(got.outcome(), "unknown", "{got:?}");
 }
 
+/// Guards against an answer that is shorter than its declared length.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_shorter_than_its_length_is_unknown() {
+    let raw = RawEndpoint::start("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf").await;
+    let entry = Entry::alone(vec![share(raw.addr, 8)]).await;
+
+    let got = call(entry.addr, post("p", 1, 0)).await;
+
+    assert_eq!(got.outcome(), "unknown", "{got:?}");
+}
+
 /// Guards against a chunked answer that is cut off between two chunks.
 #[tokio::test(flavor = "multi_thread")]
 async fn chunked_answer_without_end_is_cut_off_for_the_caller() {
