--- a/tests/dedup_table.rs
+++ b/tests/dedup_table.rs
@@ -7,7 +7,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use sapphirecroft::dedup::*;
 use sapphirecroft::model::*;
-use sapphirecroft::schema::dedup::{KeyRecord, RecordedAnswer, RecordedHeader};
+use sapphirecroft::schema::dedup::{KeyRecord, KeyState, RecordedAnswer, RecordedHeader};
 
 const RETENTION: Millis = Millis(1_000);
 /// Messages are given up after this time; the request path gives up after 2 s of 600 s.
@@ -219,6 +219,33 @@
     assert_eq!(late, Recorded::New { replaces: None });
 }
 
+fn record(attempt: &str, age: u64, state: KeyState) -> KeyRecord {
+    KeyRecord {
+        key: "k".into(),
+        request: "POST /".into(),
+        attempt: attempt.parse().expect("token"),
+        age_ms: Millis(age),
+        state,
+        answer: (state == KeyState::Answered).then(|| answer(10).as_ref().clone()),
+    }
+}
+
+/// Guards against the answer of an older attempt, and a newer one that is forgotten with it.
+#[test]
+fn two_attempts_that_may_both_have_run_give_no_answer() {
+    let mut table = table();
+    table.merge(&record("m:1", 900, KeyState::Answered), Millis(0));
+    table.merge(&record("m:2", 100, KeyState::InProgress), Millis(0));
+
+    let early = table.lookup("k", Millis(0));
+    let later = table.lookup("k", Millis(899));
+    let expired = table.lookup("k", Millis(900));
+
+    assert_eq!(early, Some(Repeat::Unknown));
+    assert_eq!(later, Some(Repeat::Unknown));
+    assert_eq!(expired, None);
+}
+
 struct View(u64, Vec<&'static str>);
 
 impl KeyView for View {
--- a/tests/proxy_failures.rs
+++ b/tests/proxy_failures.rs
@@ -8,6 +8,9 @@
 use http::StatusCode;
 use proxy_support::*;
 
+/// Shorter than the time after which idle connections are closed in any case.
+const BEFORE_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
 const SILENT_DEADLINE_MS: &str = "3000";
 
 /// Opens idle connections to the endpoints and silences them.
@@ -204,12 +207,16 @@
         .proxy
         .set_endpoints(&id("booking"), shares(&endpoints, 0));
 
-    until("connections are closed", || {
-        endpoints[0].log().connections == 0
-    })
-    .await;
     let address = sapphirecroft::model::Address(endpoints[0].addr());
-    until("permits are free", || entry.proxy.connections(address) == 0).await;
+    let closed = async {
+        until("connections are closed", || {
+            endpoints[0].log().connections == 0
+        })
+        .await;
+        until("permits are free", || entry.proxy.connections(address) == 0).await;
+    };
+    let in_time = tokio::time::timeout(BEFORE_IDLE_TIMEOUT, closed).await;
+    assert!(in_time.is_ok());
 }
 
 /// Guards against a shutdown that cuts answers off or starts new work.
