Test batch promises under faults and fix what was found

The state machines were only exercised without faults.

Add a stateful property test that drives job owners, rack owners and worker stand-ins in virtual time. It found three faults, now fixed: an owner with an old epoch took a shard record back from its successor; a shard stayed closed after a store outage when nothing was left to write; a late release of an unused reservation dropped the report of an ended attempt. Reading the code found a fourth: answers of store calls made before a shard moved away could be applied after it came back.

--- a/src/batch/exchange.rs
+++ b/src/batch/exchange.rs
@@ -328,7 +328,7 @@
         }
         self.digests.insert(answer.from.clone(), answer.digest);
         for reserved in answer.reserved {
-            self.reserved(&answer.from, reserved, now);
+            self.reserved(reserved, now);
         }
         for asked in &call.reserve {
             if self.placing.remove(&asked.task).is_some()
@@ -353,7 +353,7 @@
         true
     }
 
-    fn reserved(&mut self, owner: &MemberId, reserved: Reserved, now: Millis) {
+    fn reserved(&mut self, reserved: Reserved, now: Millis) {
         let expected = self.placing.remove(&reserved.task).is_some();
         let assigned = expected
             && split_task(&reserved.task).is_some_and(|(shard, job, index)| {
@@ -366,9 +366,9 @@
                         shard.edit_job(&job, |job| job.assign(index, reserved.attempt, place))
                     })
             });
-        if !assigned {
-            self.queue_release(owner, &reserved.task, reserved.attempt, reserved.place);
-        } else if let Some((_, job, _)) = split_task(&reserved.task) {
+        // An unused reservation lapses by itself. A release could arrive late, when the same attempt
+        // has been assigned after all, and would drop the report of its end.
+        if assigned && let Some((_, job, _)) = split_task(&reserved.task) {
             let wait = self.waits.entry(job).or_default();
             *wait = JobWait {
                 served_at: now,
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -18,7 +18,7 @@
 pub use ids::{SHARDS, job_id, shard_key, shard_of_job, shard_of_key, split_task, task_id};
 pub use limits::{check_spec, obstacle};
 pub use node::{BatchNode, BatchParts};
-pub use owner::JobOwner;
+pub use owner::{JobOwner, StoreWork};
 pub use refusal::Refusal;
 pub use select::{Pick, WaitingJob, pick_tasks};
 pub use service::BatchService;
--- a/src/batch/node.rs
+++ b/src/batch/node.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use super::calls::RackCalls;
-use super::owner::JobOwner;
+use super::owner::{JobOwner, StoreWork};
 use super::shard::{StoreResult, StoreStep};
 use crate::bundle::ActiveBundle;
 use crate::membership::Ownership;
@@ -143,8 +143,8 @@
             racks.adopt_epoch(now);
             (racks.agent_work(now), racks.reports(now))
         };
-        for (shard, key, step) in steps {
-            tokio::spawn(self.clone().take_store_step(shard, key, step));
+        for item in steps {
+            tokio::spawn(self.clone().call_store(item));
         }
         for (owner, call) in calls {
             tokio::spawn(self.clone().send_exchange(owner, call));
@@ -157,8 +157,14 @@
         }
     }
 
-    async fn take_store_step(self: Arc<Self>, shard: u32, key: String, step: StoreStep) {
+    async fn call_store(self: Arc<Self>, work: StoreWork) {
         let store = &self.parts.store;
+        let StoreWork {
+            shard,
+            key,
+            number,
+            step,
+        } = work;
         let result = match step {
             StoreStep::Read => store.get(&key).await.map(StoreResult::Found),
             StoreStep::Write { expected, value } => store
@@ -178,7 +184,7 @@
             }
         });
         let wall = self.wall();
-        self.jobs.lock().store_done(shard, result, wall);
+        self.jobs.lock().store_done(shard, number, result, wall);
         self.changed.notify_waiters();
         self.wake.notify_one();
     }
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -19,6 +19,19 @@
 /// Time for which a job must be impossible before it is parked; the VM list lags and flickers.
 const PARK_AFTER: Millis = Millis(30_000);
 
+/// A call to the store that a shard needs, with the number under which its answer is expected.
+#[derive(Clone, Debug)]
+pub struct StoreWork {
+    /// The shard.
+    pub shard: u32,
+    /// Key of its record.
+    pub key: String,
+    /// Number of the call.
+    pub number: u64,
+    /// The call.
+    pub step: StoreStep,
+}
+
 /// How a start or stop that was sent last is known to stand.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Asked {
@@ -42,7 +55,7 @@
     pub(super) region: RegionId,
     pub(super) ownership: Arc<dyn Ownership>,
     pub(super) epoch: Epoch,
-    pub(super) writes: u64,
+    pub(super) store_calls: u64,
     pub(super) shards: BTreeMap<u32, JobShard>,
     pub(super) fleet: Arc<Fleet>,
     pub(super) bundle: Option<Arc<BundleInForce>>,
@@ -64,7 +77,7 @@
             region,
             ownership,
             epoch: Epoch(0),
-            writes: 0,
+            store_calls: 0,
             shards: BTreeMap::new(),
             fleet: Arc::default(),
             bundle: None,
@@ -123,32 +136,34 @@
         self.epoch
     }
 
-    /// Returns the calls to the store that are due, by shard.
-    pub fn store_steps(&mut self, now: Millis) -> Vec<(u32, String, StoreStep)> {
+    /// Returns the calls to the store that are due.
+    pub fn store_steps(&mut self, now: Millis) -> Vec<StoreWork> {
         if !self.ownership.is_active() {
             return Vec::new();
         }
         let epoch = self.epoch;
         let me = self.ownership.me();
-        let mut writes = self.writes;
-        let mut steps = Vec::new();
+        let mut work = Vec::new();
         for (id, shard) in &mut self.shards {
-            let token = || {
-                writes += 1;
-                format!("{me}:{writes}").parse().unwrap_or_default()
-            };
-            if let Some(step) = shard.next_step(epoch, token, now) {
-                steps.push((*id, shard.key().to_string(), step));
+            let number = self.store_calls + 1;
+            let token = || format!("{me}:{number}").parse().unwrap_or_default();
+            if let Some(step) = shard.next_step(epoch, number, token, now) {
+                self.store_calls = number;
+                work.push(StoreWork {
+                    shard: *id,
+                    key: shard.key().to_string(),
+                    number,
+                    step,
+                });
             }
         }
-        self.writes = writes;
-        steps
+        work
     }
 
     /// Takes in what came of a call to the store.
-    pub fn store_done(&mut self, shard: u32, result: StoreResult, now: Millis) {
+    pub fn store_done(&mut self, shard: u32, number: u64, result: StoreResult, now: Millis) {
         if let Some(shard) = self.shards.get_mut(&shard) {
-            shard.step_done(result, now);
+            shard.step_done(number, result, now);
         }
     }
 
--- a/src/batch/shard.rs
+++ b/src/batch/shard.rs
@@ -66,7 +66,7 @@
     id: u32,
     key: String,
     stage: Stage,
-    busy: bool,
+    waiting_for: Option<u64>,
     revision: Revision,
     durable: ShardRecord,
     working: ShardRecord,
@@ -85,7 +85,7 @@
             id,
             key: shard_key(region, id),
             stage: Stage::Unread,
-            busy: false,
+            waiting_for: None,
             revision: Revision(0),
             durable: empty(),
             working: empty(),
@@ -182,22 +182,35 @@
         self.taken = None;
     }
 
-    /// Returns the next call to the store, if one is due.
+    /// Returns the next call to the store, if one is due; `number` identifies its answer.
     pub fn next_step(
         &mut self,
         epoch: Epoch,
+        number: u64,
         token: impl FnOnce() -> WriterToken,
         now: Millis,
     ) -> Option<StoreStep> {
-        if self.busy || now < self.retry_at {
+        let step = self.due_step(epoch, token, now);
+        if step.is_some() {
+            self.waiting_for = Some(number);
+        }
+        step
+    }
+
+    fn due_step(
+        &mut self,
+        epoch: Epoch,
+        token: impl FnOnce() -> WriterToken,
+        now: Millis,
+    ) -> Option<StoreStep> {
+        if self.waiting_for.is_some() || now < self.retry_at {
             return None;
         }
         match self.stage {
-            Stage::Unread | Stage::Uncertain(_) => {
-                self.busy = true;
-                Some(StoreStep::Read)
-            }
+            Stage::Unread | Stage::Uncertain(_) => Some(StoreStep::Read),
             Stage::Writing(_) => None,
+            // Nothing may be left to write, so a read tells when the store is back.
+            Stage::Ready if !self.store_up => Some(StoreStep::Read),
             Stage::Ready => self.prepare_write(epoch, token, now),
         }
     }
@@ -208,6 +221,12 @@
         token: impl FnOnce() -> WriterToken,
         now: Millis,
     ) -> Option<StoreStep> {
+        if self.durable.epoch > epoch {
+            // A later owner has taken the record over; this process has yet to adopt its epoch.
+            self.stage = Stage::Unread;
+            self.retry_at = now + STORE_RETRY;
+            return None;
+        }
         let due = now >= self.written_at + COMMIT_INTERVAL;
         let wanted = self.taken != Some(epoch) || (self.dirty && due);
         if !wanted {
@@ -227,7 +246,6 @@
             Revision(0) => Expected::Absent,
             revision => Expected::At(revision),
         };
-        self.busy = true;
         self.dirty = false;
         self.written_at = now;
         self.stage = Stage::Writing(Sent {
@@ -236,9 +254,14 @@
         Some(StoreStep::Write { expected, value })
     }
 
-    /// Takes in what came of the last call.
-    pub fn step_done(&mut self, result: StoreResult, now: Millis) {
-        self.busy = false;
+    /// Takes in what came of the last call; an answer to any other call is ignored.
+    ///
+    /// A shard that moved away and came back starts anew and must not take an answer from before.
+    pub fn step_done(&mut self, number: u64, result: StoreResult, now: Millis) {
+        if self.waiting_for != Some(number) {
+            return;
+        }
+        self.waiting_for = None;
         self.store_up = !matches!(result, StoreResult::NotDone | StoreResult::Unknown);
         let stage = std::mem::replace(&mut self.stage, Stage::Unread);
         match (stage, result) {
@@ -252,6 +275,9 @@
             (Stage::Uncertain(sent), StoreResult::Found(found)) => {
                 self.resolve(sent, found.as_ref());
             }
+            (Stage::Ready, StoreResult::Found(Some(found))) if found.revision == self.revision => {
+                self.stage = Stage::Ready;
+            }
             (_, StoreResult::Found(found)) => self.load(found.as_ref()),
             (stage, _) => {
                 self.stage = stage;
--- a/src/placement/owner.rs
+++ b/src/placement/owner.rs
@@ -358,17 +358,14 @@
         else {
             return;
         };
-        match entry.phase {
-            Phase::Held { .. } => {}
-            Phase::Ended(_) => {
-                book.bury(&release.task, release.attempt, now);
-                book.acks.push(TaskAttempt {
-                    task: release.task.clone(),
-                    attempt: release.attempt,
-                });
-            }
-            Phase::Starting | Phase::Running | Phase::Stopping { .. } => return,
+        if entry.holds_capacity() {
+            return;
         }
+        book.bury(&release.task, release.attempt, now);
+        book.acks.push(TaskAttempt {
+            task: release.task.clone(),
+            attempt: release.attempt,
+        });
         book.entries.remove(&release.task);
         book.recount();
         self.reindex(slot, now);
@@ -428,7 +425,7 @@
         reports.into_iter().collect()
     }
 
-    /// Returns what is promised on each worker, with the capacity that it may not exceed.
+    /// Returns what is promised on each claimed worker, with the capacity that it may not exceed.
     pub fn promised(&self) -> Vec<(VmId, Resources, Resources)> {
         self.books
             .values()
@@ -437,6 +434,19 @@
             .collect()
     }
 
+    /// Lists the attempts that hold capacity on a claimed worker.
+    pub fn promises(&self, worker: &VmId) -> Vec<(TaskId, Attempt, Resources)> {
+        self.slots
+            .get(worker)
+            .and_then(|slot| self.books.get(slot))
+            .filter(|book| book.claimed && !book.fenced_out)
+            .into_iter()
+            .flat_map(|book| &book.entries)
+            .filter(|(_, entry)| entry.holds_capacity())
+            .map(|(task, entry)| (task.clone(), entry.attempt, entry.resources))
+            .collect()
+    }
+
     /// Lists quarantined workers.
     pub fn quarantined(&self) -> Vec<VmId> {
         self.books
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -62,6 +62,7 @@
     fenced: BTreeMap<TaskId, Attempt>,
     checkpoints: Checkpoints,
     events: Vec<WorkerEvent>,
+    booted: Millis,
     /// Faults to show.
     pub faults: WorkerFaults,
 }
@@ -78,6 +79,7 @@
             fenced: BTreeMap::new(),
             checkpoints,
             events: Vec::new(),
+            booted: Millis::ZERO,
             faults: WorkerFaults::default(),
         }
     }
@@ -132,6 +134,17 @@
         }
     }
 
+    /// Loses everything in memory, as when the VM restarts; the clock runs on.
+    ///
+    /// Fenced attempts are forgotten too, so starts that were prepared before are refused.
+    pub fn restart(&mut self, now: Millis) {
+        self.advance(now);
+        self.epoch = Epoch(0);
+        self.tasks.clear();
+        self.fenced.clear();
+        self.booted = self.clock;
+    }
+
     /// Moves time on: progress, completions, failures, stops and lapsed leases.
     pub fn advance(&mut self, now: Millis) {
         self.clock = self.clock.max(now);
@@ -201,7 +214,7 @@
             }
         }
         let lease_until = start.as_of + start.lease;
-        if lease_until <= self.clock {
+        if lease_until <= self.clock || start.as_of < self.booted {
             return Err(AgentRefusal::LeaseEnded);
         }
         let wanted = self.reserved().checked_add(&start.resources);
--- /dev/null
+++ b/tests/batch_promises.rs
@@ -0,0 +1,98 @@
+//! Promises P1 to P3 under faults: owners, workers and the store in virtual time.
+//!
+//! `BATCH_SEQUENCES` sets the number of sequences of a longer run.
+
+mod batch_support;
+
+use batch_support::sim::{Op, Sim};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestError, TestRng, TestRunner};
+
+/// Sequences of a normal run.
+const SEQUENCES: u32 = 10_000;
+
+/// Threads that share the sequences; each has its own seed.
+const THREADS: u32 = 8;
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        12 => (100u64..4000).prop_map(Op::Wait),
+        3 => (8000u64..25_000).prop_map(Op::Wait),
+        8 => (1u32..5, 1u64..6, 500u64..15_000, any::<bool>()).prop_map(
+            |(tasks, cores, run_time, checkpoint)| Op::Submit { tasks, cores, run_time, checkpoint }
+        ),
+        2 => (0usize..8).prop_map(Op::Cancel),
+        3 => (0usize..8).prop_map(Op::Evict),
+        2 => (1u64..4).prop_map(Op::LoseAnswers),
+        1 => (500u64..30_000).prop_map(Op::StoreDown),
+        2 => (0usize..8).prop_map(Op::KillMember),
+        1 => (0usize..8).prop_map(Op::KillTwo),
+        2 => (0usize..8, 200u64..20_000).prop_map(|(n, ms)| Op::PauseMember(n, ms)),
+        2 => Just(Op::Join),
+        3 => (0usize..8, 500u64..40_000).prop_map(|(n, ms)| Op::Partition(n, ms)),
+        1 => (0usize..8).prop_map(Op::KillWorker),
+        1 => (0usize..8).prop_map(Op::RestartWorker),
+        1 => (0usize..8, any::<bool>()).prop_map(|(n, fail)| Op::FailAll(n, fail)),
+        1 => (0usize..8, 0u64..20_000).prop_map(|(n, ms)| Op::IgnoreStop(n, ms)),
+        2 => (0u64..200).prop_map(Op::Trouble),
+    ]
+}
+
+fn run(seed: u64, ops: &[Op]) -> Result<(), String> {
+    let mut sim = Sim::new(seed);
+    for op in ops {
+        sim.apply(op)?;
+    }
+    sim.settle()
+}
+
+fn run_share(thread: u32, cases: u32) -> Result<(), TestError<(u64, Vec<Op>)>> {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..Config::default()
+    };
+    let mut seed = [42u8; 32];
+    seed[0] = u8::try_from(thread).expect("few threads");
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
+    TestRunner::new_with_rng(config, rng).run(&(any::<u64>(), vec(op(), 5..30)), |(seed, ops)| {
+        run(seed, &ops).map_err(TestCaseError::fail)
+    })
+}
+
+/// Guards against promises above capacity, tasks that run twice at once, and lost, repeated or
+/// revived work under any mix of the faults of the design.
+#[test]
+fn promises_hold_under_faults() {
+    let sequences = std::env::var("BATCH_SEQUENCES")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(SEQUENCES);
+    let verdicts: Vec<_> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS)
+            .map(|thread| scope.spawn(move || run_share(thread, sequences.div_ceil(THREADS))))
+            .collect();
+        threads
+            .into_iter()
+            .map(|thread| thread.join().expect("no panic"))
+            .collect()
+    });
+
+    for verdict in verdicts {
+        if let Err(err) = verdict {
+            panic!("{}", describe(&err));
+        }
+    }
+}
+
+/// Shows the reason first and the sequence on one line.
+fn describe(err: &TestError<(u64, Vec<Op>)>) -> String {
+    match err {
+        TestError::Fail(reason, (seed, ops)) => {
+            format!("{reason}\nseed {seed}, operations {ops:?}")
+        }
+        TestError::Abort(reason) => format!("aborted: {reason}"),
+    }
+}
--- a/tests/batch_support/mod.rs
+++ b/tests/batch_support/mod.rs
@@ -1,5 +1,12 @@
 //! Fixtures of the batch tests.
 
+#![allow(dead_code)]
+
+pub mod network;
+pub mod oracle;
+pub mod sim;
+pub mod view;
+
 use std::collections::BTreeMap;
 
 use sapphirecroft::bundle::BundleInForce;
--- /dev/null
+++ b/tests/batch_support/network.rs
@@ -0,0 +1,140 @@
+//! Messages under way in the simulation.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use sapphirecroft::batch::{StoreResult, StoreWork};
+use sapphirecroft::placement::{AgentWork, next_random};
+use sapphirecroft::prelude::*;
+use sapphirecroft::schema::batch::{JobReport, RackAnswer, RackCall};
+use sapphirecroft::schema::worker::AgentReply;
+
+#[derive(Clone, Debug)]
+pub enum Message {
+    StoreCall {
+        member: usize,
+        work: StoreWork,
+    },
+    StoreDone {
+        member: usize,
+        number: u64,
+        shard: u32,
+        result: StoreResult,
+    },
+    Command {
+        member: usize,
+        work: AgentWork,
+    },
+    CommandDone {
+        member: usize,
+        worker: VmId,
+        number: u64,
+        reply: Option<AgentReply>,
+    },
+    Exchange {
+        from: usize,
+        to: MemberId,
+        call: RackCall,
+    },
+    Answer {
+        to: usize,
+        call: RackCall,
+        answer: RackAnswer,
+    },
+    Report {
+        to: MemberId,
+        report: JobReport,
+    },
+    Adopt {
+        member: usize,
+        epoch: Epoch,
+        members: Vec<MemberId>,
+    },
+    Remove {
+        member: MemberId,
+    },
+}
+
+struct Due {
+    at: Millis,
+    order: u64,
+    message: Message,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// A network that delays, reorders, repeats and drops messages.
+pub struct Network {
+    queue: BinaryHeap<Reverse<Due>>,
+    order: u64,
+    random: u64,
+    /// Messages per thousand that are dropped, repeated and delayed for long.
+    pub trouble: u64,
+}
+
+impl Network {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            queue: BinaryHeap::new(),
+            order: 0,
+            random: seed,
+            trouble: 0,
+        }
+    }
+
+    /// Returns a number below `bound`.
+    pub fn roll(&mut self, bound: u64) -> u64 {
+        self.random = next_random(self.random);
+        (self.random >> 20) % bound.max(1)
+    }
+
+    pub fn at(&mut self, at: Millis, message: Message) {
+        self.order += 1;
+        self.queue.push(Reverse(Due {
+            at,
+            order: self.order,
+            message,
+        }));
+    }
+
+    /// Sends a message that may be dropped, repeated or delayed for long.
+    ///
+    /// Calls to the store are not repeated: `StoreError::Unavailable` promises that the call was
+    /// not carried out, which a second copy of it would break.
+    pub fn send(&mut self, now: Millis, message: Message) {
+        let mut delay = Millis(1 + self.roll(10));
+        if self.roll(1000) < self.trouble {
+            let late = Millis(self.roll(25_000));
+            match self.roll(3) {
+                0 => return,
+                1 if !matches!(message, Message::StoreCall { .. }) => {
+                    self.at(now + late, message.clone());
+                }
+                _ => delay = late,
+            }
+        }
+        self.at(now + delay, message);
+    }
+
+    pub fn next(&mut self, until: Millis) -> Option<(Millis, Message)> {
+        if self.queue.peek().is_none_or(|Reverse(due)| due.at > until) {
+            return None;
+        }
+        self.queue.pop().map(|Reverse(due)| (due.at, due.message))
+    }
+}
