Simulate a region under faults and test membership in virtual time

The simulation runs several state machines against a model of the store, with outages, lost answers, pauses, partitions, deaths and clock rates up to 10% off. It found a record order that took a new process for the one it replaces, and a process that never joined after another one raised the epoch. 150 histories pass.

--- /dev/null
+++ b/src/bench/mod.rs
@@ -0,0 +1,3 @@
+//! Benchmarks and the simulations that they and the tests run.
+
+pub mod region_sim;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! `docs/design.md` describes the modules and the reasons behind them.
 
+pub mod bench;
 pub mod bundle;
 pub mod error;
 pub mod ini;
--- a/src/membership/io.rs
+++ b/src/membership/io.rs
@@ -51,8 +51,8 @@
 /// Something that the shell must do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
-    /// Grant the store lease and write the entry that is bound to it.
-    CreateLease,
+    /// Grant the store lease and write this entry, which is bound to it.
+    CreateLease(Member),
     /// Extend the store lease.
     RenewLease,
     /// Read the record, and after it the entries.
--- a/src/membership/lease.rs
+++ b/src/membership/lease.rs
@@ -65,6 +65,11 @@
             .is_some_and(|sent| now.since(sent) < timing.lease_span())
     }
 
+    /// Tells whether the lease was never asked for.
+    pub fn is_new(&self) -> bool {
+        self.tried.is_none()
+    }
+
     /// Returns the fence.
     pub fn fence(&self) -> Fence {
         self.fence
--- a/src/membership/machine/mod.rs
+++ b/src/membership/machine/mod.rs
@@ -27,6 +27,7 @@
     table: Option<MemberTable>,
     views: Vec<MemberView>,
     adopted: BTreeMap<Epoch, Millis>,
+    started: Option<Millis>,
     lease: StoreLease,
     record_call: Option<RecordCall>,
     next_read: Millis,
@@ -63,6 +64,7 @@
             table: None,
             views: Vec::new(),
             adopted: BTreeMap::new(),
+            started: None,
             lease: StoreLease::default(),
             record_call: None,
             next_read: Millis::ZERO,
@@ -208,7 +210,9 @@
 
     fn vms_read(&mut self, vms: Vec<crate::schema::vm::VmRecord>, now: Millis) {
         let before = self.vms.leaving();
-        if self.vms.read(vms, now) {
+        let members = self.table.as_ref().map_or(&[][..], MemberTable::members);
+        let members: Vec<VmId> = members.iter().map(|member| member.vm.clone()).collect();
+        if self.vms.read(vms, &members, now) {
             self.slots_dirty = true;
         }
         if self.vms.leaving().difference(&before).next().is_some() {
--- a/src/membership/machine/removal.rs
+++ b/src/membership/machine/removal.rs
@@ -43,8 +43,11 @@
         let Some(table) = &self.table else {
             return false;
         };
-        let gone = |vm: &VmId| self.vms.is_gone(vm, self.timing.gone, now);
-        table.is_replaced(id) || table.member(id).is_some_and(|member| gone(&member.vm))
+        let Some(member) = table.member(id) else {
+            return false;
+        };
+        let absent = self.vms.is_absent(&member.vm, self.timing.gone, now);
+        (member.listed && absent) || table.is_replaced(id)
     }
 
     /// Reports silent members whose lease has lapsed.
@@ -171,8 +174,10 @@
             .ids()
             .iter()
             .filter(|other| *other != id)
-            .filter_map(|other| self.report_of(other, id))
-            .filter(|at| *at <= before)
+            .filter(|other| {
+                let reported = self.report_of(other, id).is_some_and(|at| at <= before);
+                reported || self.is_terminated(other, before)
+            })
             .count();
         reporters >= view.reporters_needed()
     }
--- a/src/membership/machine/store.rs
+++ b/src/membership/machine/store.rs
@@ -12,6 +12,9 @@
 /// Wait after a failed call about the record.
 const RETRY: Millis = Millis(500);
 
+/// Longest wait of a new process for the VM list to show its VM.
+const LISTING_WAIT: Millis = Millis(15_000);
+
 /// Shortest interval between reads of the record.
 const READ_INTERVAL: Millis = Millis(200);
 
@@ -31,9 +34,12 @@
         if self.leaving && self.is_idle() {
             return;
         }
+        if self.lease.is_new() && self.awaits_listing(now) {
+            return;
+        }
         let quorum = self.has_quorum(now);
         match self.lease.next_call(&self.timing, quorum, now) {
-            Some(LeaseCall::Create { .. }) => out.push(Output::CreateLease),
+            Some(LeaseCall::Create { .. }) => out.push(self.create_lease()),
             Some(LeaseCall::Renew) => out.push(Output::RenewLease),
             None => {}
         }
@@ -42,7 +48,20 @@
     pub(super) fn lease_lapsed(&mut self, now: Millis, out: &mut Vec<Output>) {
         let quorum = self.has_quorum(now);
         self.lease.lapsed(quorum, now);
-        out.push(Output::CreateLease);
+        out.push(self.create_lease());
+    }
+
+    /// Tells whether this process waits until the VM list shows its VM.
+    ///
+    /// A member whose VM was never shown could not be removed when the VM is terminated.
+    fn awaits_listing(&mut self, now: Millis) -> bool {
+        let started = *self.started.get_or_insert(now);
+        now.since(started) < LISTING_WAIT && self.vms.may_show(&self.me.vm, &self.region)
+    }
+
+    fn create_lease(&mut self) -> Output {
+        self.me.listed = self.vms.vms().contains_key(&self.me.vm);
+        Output::CreateLease(self.me.clone())
     }
 
     /// Reads the record if this process has to join it or wants to leave it.
@@ -109,17 +128,38 @@
             let idle = self.is_idle();
             return idle.then(|| self.next_table(table, &[], &BTreeSet::new(), now));
         }
-        let raises = match self.lease.fence() {
-            Fence::Fresh => table.member(&self.me.id).is_none() && live.contains(&self.me.id),
-            Fence::Above(floor) => table.epoch() <= floor && live.contains(&self.me.id),
-            Fence::Open => self.refused == Some(table.epoch()) && live.contains(&self.me.id),
-            Fence::Closed => false,
-        };
+        let missing = table.member(&self.me.id).is_none();
+        let raises = live.contains(&self.me.id)
+            && match self.lease.fence() {
+                Fence::Fresh => missing,
+                Fence::Above(floor) => missing || table.epoch() <= floor,
+                Fence::Open => self.refused == Some(table.epoch()),
+                Fence::Closed => false,
+            };
         let removable = self.removable(table, live, started, now);
         if !raises && removable.is_empty() {
             return None;
         }
-        Some(self.next_table(table, entries, &removable, now))
+        let joining = self.admissible(table, entries);
+        Some(self.next_table(table, &joining, &removable, now))
+    }
+
+    /// Returns the processes that this one may add to the record together with itself.
+    ///
+    /// Two processes with one address can only be told apart by who joined later, so they must
+    /// join by their own writes, which fail if the other one was first.
+    fn admissible(&self, table: &MemberTable, entries: &[Member]) -> Vec<Member> {
+        let shares = |entry: &Member, other: &Member| {
+            other.id != entry.id && other.vm == entry.vm && other.address == entry.address
+        };
+        entries
+            .iter()
+            .filter(|entry| {
+                let mut others = entries.iter().chain(table.members());
+                entry.id == self.me.id || !others.any(|other| shares(entry, other))
+            })
+            .cloned()
+            .collect()
     }
 
     fn next_table(
--- a/src/membership/vm_watch.rs
+++ b/src/membership/vm_watch.rs
@@ -15,19 +15,24 @@
 #[derive(Clone, Debug, Default)]
 pub struct VmWatch {
     vms: BTreeMap<VmId, VmRecord>,
-    vanished: BTreeMap<VmId, Millis>,
+    absent: BTreeMap<VmId, Millis>,
+    read: bool,
     notices: BTreeMap<VmId, Millis>,
 }
 
 impl VmWatch {
-    /// Takes over a list; returns whether the endpoints or the leaving ones changed.
-    pub fn read(&mut self, vms: Vec<VmRecord>, now: Millis) -> bool {
+    /// Takes over a list; returns whether it differs from the last one.
+    ///
+    /// `members` are the VMs of all members, which are absent if the list does not show them.
+    pub fn read(&mut self, vms: Vec<VmRecord>, members: &[VmId], now: Millis) -> bool {
         let next: BTreeMap<VmId, VmRecord> =
             vms.into_iter().map(|vm| (vm.vm.clone(), vm)).collect();
-        for id in self.vms.keys().filter(|id| !next.contains_key(*id)) {
-            self.vanished.entry(id.clone()).or_insert(now);
+        self.read = true;
+        for id in members {
+            self.absent.entry(id.clone()).or_insert(now);
         }
-        self.vanished.retain(|id, _| !next.contains_key(id));
+        self.absent
+            .retain(|id, _| members.contains(id) && !next.contains_key(id));
         let changed = next != self.vms;
         self.vms = next;
         for vm in self.vms.values().filter(|vm| is_leaving_endpoint(vm)) {
@@ -69,13 +74,20 @@
             .collect()
     }
 
-    /// Tells whether the platform has certainly terminated a VM that it once showed.
-    pub fn is_gone(&self, vm: &VmId, after: Millis, now: Millis) -> bool {
-        self.vanished
+    /// Tells whether the list has not shown the VM of a member for a time.
+    pub fn is_absent(&self, vm: &VmId, after: Millis, now: Millis) -> bool {
+        self.absent
             .get(vm)
             .is_some_and(|at| now.since(*at) >= after)
     }
 
+    /// Tells whether the list may still come to show the VM of a new process.
+    ///
+    /// A list that was read and shows no entry VM of the region does not cover entry VMs.
+    pub fn may_show(&self, vm: &VmId, region: &RegionId) -> bool {
+        !self.read || (!self.vms.contains_key(vm) && !self.entries(region).is_empty())
+    }
+
     /// Returns the VMs that serve requests.
     pub fn endpoints(&self) -> impl Iterator<Item = &VmId> {
         self.vms
--- a/src/peer/node.rs
+++ b/src/peer/node.rs
@@ -216,7 +216,9 @@
             Output::Adopted(epoch) => tracing::info!(%epoch, "adopted member epoch"),
             Output::Removed(epoch) => tracing::warn!(%epoch, "removed from the member record"),
             Output::Left => self.left.cancel(),
-            Output::CreateLease => self.spawn(async move { node.step(node.create_lease().await) }),
+            Output::CreateLease(me) => {
+                self.spawn(async move { node.step(node.create_lease(&me).await) })
+            }
             Output::RenewLease => self.spawn(async move { node.step(node.renew_lease().await) }),
             Output::ReadRecord { leave } => {
                 self.spawn(async move { node.step(node.read_record(leave).await) });
--- a/src/peer/store_calls.rs
+++ b/src/peer/store_calls.rs
@@ -13,27 +13,28 @@
 const TIMEOUT: Duration = Duration::from_millis(1000);
 
 impl MemberNode {
-    pub(super) async fn create_lease(&self) -> Input {
+    pub(super) async fn create_lease(&self, me: &Member) -> Input {
         let sent = self.now();
-        match self.try_create_lease().await {
+        match self.try_create_lease(me).await {
             Ok(true) => Input::LeaseKept(sent),
             Ok(false) | Err(_) => Input::LeaseFailed,
         }
     }
 
-    async fn try_create_lease(&self) -> Result<bool, StoreError> {
+    async fn try_create_lease(&self, me: &Member) -> Result<bool, StoreError> {
         let key = self.entry_key();
         let ttl = self.config.timing.lease_ttl;
         if !timed(self.store.keep_lease(&key, ttl, true)).await? {
             return Ok(false);
         }
-        let value = encode(&self.config.me).map_err(StoreError::Invalid)?;
+        let value = encode(me).map_err(StoreError::Invalid)?;
         let written = self
             .store
-            .cas(&key, Expected::Absent, Some(value.clone()), Some(&key));
+            .cas(&key, Expected::Absent, Some(value), Some(&key));
         Ok(match timed(written).await? {
             CasOutcome::Written(_) => true,
-            CasOutcome::Conflict(found) => found.is_some_and(|found| found.value == value),
+            // Only this process writes the key; an earlier answer was lost.
+            CasOutcome::Conflict(found) => found.is_some(),
         })
     }
 
--- a/src/schema/peer.rs
+++ b/src/schema/peer.rs
@@ -76,6 +76,8 @@
     ///IP address and port of the peer interface.
     pub address: ::std::string::String,
     pub id: crate::model::MemberId,
+    ///Whether the VM list had shown the VM when the process joined.
+    pub listed: bool,
     pub vm: crate::model::VmId,
     pub zone: crate::model::ZoneId,
 }
--- /dev/null
+++ b/tests/members_faults.rs
@@ -0,0 +1,231 @@
+//! Membership of a simulated region under faults, in virtual time.
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use sapphirecroft::bench::region_sim::{RegionSim, SimConfig};
+use sapphirecroft::prelude::*;
+
+/// Takeover must take less than this.
+const TAKEOVER: Millis = Millis(10_000);
+
+/// Time after which a region of healthy processes has settled.
+const SETTLED: Millis = Millis(15_000);
+
+#[derive(Clone, Debug)]
+enum Op {
+    Wait(u64),
+    StoreDown,
+    StoreUp,
+    StoreDownFor(usize),
+    StoreSlow(u64),
+    LoseAnswers(u32),
+    CutOff(Vec<usize>),
+    Heal,
+    Loss(u32),
+    Pause(usize, u64),
+    Kill(Vec<usize>),
+    Restart(usize),
+    Replace(usize),
+    Leave(usize),
+    VmLag(u64),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let host = 0..12usize;
+    prop_oneof![
+        6 => (100..9000u64).prop_map(Op::Wait),
+        1 => Just(Op::StoreDown),
+        1 => Just(Op::StoreUp),
+        2 => host.clone().prop_map(Op::StoreDownFor),
+        1 => (0..700u64).prop_map(Op::StoreSlow),
+        1 => (1..6u32).prop_map(Op::LoseAnswers),
+        2 => vec(host.clone(), 1..4).prop_map(Op::CutOff),
+        1 => Just(Op::Heal),
+        1 => (0..400u32).prop_map(Op::Loss),
+        2 => (host.clone(), 500..8000u64).prop_map(|(at, span)| Op::Pause(at, span)),
+        2 => vec(host.clone(), 1..3).prop_map(Op::Kill),
+        2 => host.clone().prop_map(Op::Restart),
+        1 => host.clone().prop_map(Op::Replace),
+        1 => host.prop_map(Op::Leave),
+        1 => (0..8000u64).prop_map(Op::VmLag),
+    ]
+}
+
+fn apply(sim: &mut RegionSim, op: &Op) {
+    let hosts = sim.present();
+    let host = |at: &usize| hosts[at % hosts.len()];
+    match op {
+        Op::Wait(span) => sim.run_for(Millis(*span)),
+        Op::StoreDown => sim.set_store_down(true),
+        Op::StoreUp => sim.set_store_down(false),
+        Op::StoreDownFor(at) => sim.set_store_down_for(host(at)),
+        Op::StoreSlow(delay) => sim.set_store_delay(Millis(*delay)),
+        Op::LoseAnswers(count) => sim.lose_store_answers(*count),
+        Op::CutOff(some) => sim.cut_off(&some.iter().map(host).collect::<Vec<_>>()),
+        Op::Heal => sim.cut_off(&[]),
+        Op::Loss(permille) => sim.set_loss(*permille),
+        Op::Pause(at, span) => sim.pause(host(at), Millis(*span)),
+        Op::Kill(some) => some.iter().for_each(|at| sim.kill(host(at))),
+        Op::Restart(at) => sim.restart(host(at)),
+        Op::Replace(at) => sim.replace(host(at)),
+        Op::Leave(at) => sim.leave(host(at)),
+        Op::VmLag(lag) => sim.set_vm_lag(Millis(*lag)),
+    }
+}
+
+fn settled(config: SimConfig) -> RegionSim {
+    let mut sim = RegionSim::new(config);
+    sim.run_for(SETTLED);
+    assert!(sim.is_all_owned() && sim.are_all_slots_usable());
+    sim
+}
+
+/// Runs a history of faults, then requires that everything is owned again in time.
+fn history(seed: u64, members: usize, ops: &[Op]) -> Result<(), TestCaseError> {
+    let mut sim = RegionSim::new(SimConfig {
+        seed,
+        members,
+        ..SimConfig::default()
+    });
+    sim.set_store_rate(1000 + seed % 101);
+    for op in ops {
+        apply(&mut sim, op);
+        sim.run_for(Millis(50));
+        prop_assert!(sim.violations().is_empty(), "{:#?}", sim.violations());
+    }
+    sim.end_faults();
+    // A terminated VM counts as silent only 30 s after it vanished from the VM list.
+    let gone = sim.last_replacement() + Millis(45_000);
+    sim.run_for(gone.since(sim.now()));
+    let owned = sim.run_until(TAKEOVER, RegionSim::is_all_owned);
+    prop_assert!(
+        owned.is_some(),
+        "not all owned within {TAKEOVER} ms\n{}",
+        sim.describe()
+    );
+    let deadline = SimConfig::default().timing.request_deadline;
+    let usable = sim.run_until(TAKEOVER + deadline, RegionSim::are_all_slots_usable);
+    prop_assert!(
+        usable.is_some(),
+        "not all slots are usable\n{}",
+        sim.describe()
+    );
+    prop_assert!(sim.violations().is_empty(), "{:#?}", sim.violations());
+    Ok(())
+}
+
+/// Guards against two owners of an item, removal of an active member, and items without owner.
+#[test]
+fn no_history_of_faults_breaks_ownership() {
+    let config = Config {
+        cases: 150,
+        failure_persistence: None,
+        max_shrink_iters: 60,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let cases = (any::<u64>(), 1..8usize, vec(op(), 1..25));
+
+    let outcome = TestRunner::new_with_rng(config, rng)
+        .run(&cases, |(seed, members, ops)| history(seed, members, &ops));
+
+    if let Err(err) = outcome {
+        panic!("{err}");
+    }
+}
+
+/// Guards against a takeover that is too slow.
+#[test]
+fn items_of_a_dead_member_are_taken_over_in_time() {
+    for seed in 0..20 {
+        let mut sim = settled(SimConfig {
+            seed,
+            items: 16,
+            ..SimConfig::default()
+        });
+
+        sim.kill(2);
+
+        sim.run_for(Millis(20));
+        assert!(!sim.is_all_owned(), "seed {seed}");
+        let taken = sim.run_until(TAKEOVER, RegionSim::is_all_owned);
+        assert!(taken.is_some(), "seed {seed}");
+        assert_eq!(sim.violations(), [""; 0], "seed {seed}");
+    }
+}
+
+/// Guards against owners that stop work in a store outage or when it ends.
+#[test]
+fn store_outage_keeps_owners_active() {
+    let mut sim = settled(SimConfig::default());
+    let epoch = sim.epoch();
+
+    sim.set_store_down(true);
+    let lapse = sim.run_until(Millis(600_000), |sim| sim.active() < 6);
+    sim.set_store_down(false);
+    let blip = sim.run_until(Millis(30_000), |sim| sim.active() < 6);
+
+    assert_eq!((lapse, blip), (None, None));
+    assert_eq!(sim.epoch(), epoch, "an outage alone needs no new epoch");
+    assert!(sim.is_all_owned());
+}
+
+/// Guards against members that are removed while the store is down.
+#[test]
+fn membership_is_frozen_in_an_outage() {
+    let mut sim = settled(SimConfig::default());
+    let epoch = sim.epoch();
+
+    sim.set_store_down(true);
+    sim.run_for(Millis(10_000));
+    sim.kill(1);
+    sim.run_for(Millis(60_000));
+    let frozen = sim.epoch();
+    sim.set_store_down(false);
+    let taken = sim.run_until(TAKEOVER, RegionSim::is_all_owned);
+
+    assert_eq!(frozen, epoch);
+    assert!(taken.is_some());
+    assert_eq!(sim.violations(), [""; 0]);
+}
+
+/// Guards against an owner that goes on with what it owned before a pause.
+#[test]
+fn paused_owner_wakes_and_does_nothing_until_it_has_rejoined() {
+    let mut sim = settled(SimConfig::default());
+    let epoch = sim.epoch();
+
+    sim.pause(3, Millis(20_000));
+    sim.run_for(Millis(19_990));
+    assert!(sim.epoch() > epoch, "the paused member was removed");
+    let woken_at = sim.epoch();
+    let active = sim.run_until(TAKEOVER, |sim| sim.is_active(3));
+
+    assert!(active.is_some(), "it joins again");
+    assert!(sim.epoch() > woken_at, "it is active in a new epoch only");
+    assert_eq!(sim.violations(), [""; 0]);
+}
+
+/// Guards against a zone whose members are never removed because they die together.
+#[test]
+fn lost_zone_is_taken_over_in_time() {
+    for (members, zones) in [(6, 3), (7, 3), (8, 4)] {
+        let mut sim = settled(SimConfig {
+            members,
+            zones,
+            items: 16,
+            ..SimConfig::default()
+        });
+
+        for host in (0..members).filter(|host| host % zones == 1) {
+            sim.kill(host);
+        }
+
+        sim.run_for(Millis(20));
+        assert!(!sim.is_all_owned());
+        let taken = sim.run_until(TAKEOVER, RegionSim::is_all_owned);
+        assert!(taken.is_some(), "{members} members in {zones} zones");
+        assert_eq!(sim.violations(), [""; 0]);
+    }
+}
--- a/tests/members_node.rs
+++ b/tests/members_node.rs
@@ -75,6 +75,7 @@
                 vm: id(name),
                 zone: id("zone-a"),
                 address,
+                listed: false,
             },
             region: id("region"),
             vms_poll: Millis(200),
