--- a/src/bundle/keeper.rs
+++ b/src/bundle/keeper.rs
@@ -7,7 +7,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
-use super::{ActiveBundle, BundleInForce, Trust};
+use super::{ActiveBundle, BundleInForce, BundleNews, Trust};
 use crate::platform::Store;
 use crate::prelude::*;
 use crate::records::CURRENT;
@@ -111,23 +111,36 @@
         self.accept(record)
     }
 
-    /// Returns the time since the store last confirmed the version here, directly or through peers.
-    ///
-    /// Heartbeats carry it to peers; a process that has heard from nobody reads the store itself.
-    pub fn age(&self) -> Option<Millis> {
-        self.confirmed.lock().map(|at| at.elapsed().into())
+    /// Returns what a heartbeat tells peers.
+    pub fn news(&self) -> BundleNews {
+        BundleNews {
+            version: self.newest(),
+            ring: self.newest_ring(),
+            age: self.age(),
+        }
     }
 
-    /// Notes that a peer has this version, which the store confirmed to it `age` ago.
-    pub fn confirm(&self, version: Version, age: Millis) {
-        if version != self.newest() {
-            return;
+    /// Takes in what a peer tells; returns whether the peer has something newer to fetch.
+    ///
+    /// A peer with the same knowledge, confirmed by the store some time ago, saves this process a
+    /// read of its own.
+    pub fn hear(&self, news: &BundleNews) -> bool {
+        let (version, ring) = (self.newest(), self.newest_ring());
+        if news.version > version || news.ring > ring {
+            return true;
         }
-        let Some(at) = Instant::now().checked_sub(age.into()) else {
-            return;
-        };
-        let mut confirmed = self.confirmed.lock();
-        *confirmed = (*confirmed).max(Some(at));
+        let confirmed_at = news
+            .age
+            .and_then(|age| Instant::now().checked_sub(age.into()));
+        if news.version == version && news.ring == ring {
+            let mut confirmed = self.confirmed.lock();
+            *confirmed = (*confirmed).max(confirmed_at);
+        }
+        false
+    }
+
+    fn age(&self) -> Option<Millis> {
+        self.confirmed.lock().map(|at| at.elapsed().into())
     }
 
     /// Makes this process one of the few that watch the store, or no longer one.
--- a/tests/audit.rs
+++ b/tests/audit.rs
@@ -144,6 +144,35 @@
     });
 }
 
+/// Guards against an entry that is doubled because others appended, and sealed the segment, before
+/// its lost answer was resolved.
+#[test]
+fn overtaken_append_is_not_repeated() {
+    for room in [5, 1] {
+        run(async {
+            let kv = KvServer::new();
+            let (p, q) = (process(&kv, "entry-0"), process(&kv, "entry-1"));
+            fill(&p, SEGMENT_ENTRIES - room).await;
+            p.link.lose_write(0, Loss::Answer);
+            p.link.pause_after_loss();
+            let slow = draft("slow");
+            let append = p.audit.append(&slow);
+            let overtake = async {
+                p.link.until_paused().await;
+                fill(&q, 2).await;
+                p.link.resume();
+            };
+
+            let (appended, ()) = tokio::join!(append, overtake);
+
+            appended.expect("took effect");
+            let report = p.audit.verify().await.expect("readable");
+            assert_eq!(report.faults, Vec::new());
+            assert_eq!(report.last as usize, SEGMENT_ENTRIES - room + 3);
+        });
+    }
+}
+
 /// Guards against edits, gaps and cut ends that verification overlooks.
 #[test]
 fn tampering_shows() {
--- a/tests/bundle_check.rs
+++ b/tests/bundle_check.rs
@@ -194,3 +194,28 @@
         })
         .unwrap_or_else(|err| panic!("{err}"));
 }
+
+/// Guards against a key that the reference page leaves out or describes with another range.
+#[test]
+fn operations_page_lists_every_key() {
+    let page = std::fs::read_to_string("docs/OPERATIONS.md").expect("page is readable");
+    for name in ["settings", "bundle"] {
+        let text = std::fs::read_to_string(format!("schema/{name}.json")).expect("readable");
+        let schema: serde_json::Value = serde_json::from_str(&text).expect("schema is JSON");
+        for (section, spec) in schema["definitions"].as_object().expect("definitions") {
+            let members = spec["properties"].as_object();
+            if ["Settings", "Bundle"].contains(&section.as_str()) {
+                continue;
+            }
+            for (key, member) in members.into_iter().flatten() {
+                let row = page.lines().find(|line| {
+                    let bound = |name: &str| member[name].as_u64().map(|n| n.to_string());
+                    line.starts_with(&format!("| `{key}` |"))
+                        && bound("maximum").is_none_or(|n| line.contains(&format!("to {n} |")))
+                        && bound("default").is_none_or(|n| line.contains(&format!("| `{n}` |")))
+                });
+                assert!(row.is_some(), "{section}.{key} is not on the page");
+            }
+        }
+    }
+}
--- a/tests/bundle_life.rs
+++ b/tests/bundle_life.rs
@@ -154,7 +154,7 @@
         let stranger = refused(propose(&p, "eve", variant(1)).await);
 
         assert!(shared.contains("[eviction] per_hour"), "{shared}");
-        assert!(no_role.contains("review"), "{no_role}");
+        assert!(no_role.contains("role review"), "{no_role}");
         assert!(stranger.contains("eve"), "{stranger}");
     });
 }
--- a/tests/bundle_model.rs
+++ b/tests/bundle_model.rs
@@ -37,6 +37,7 @@
     Lose(usize, usize, bool),
     CutStore(usize, bool),
     CutPeers(usize, usize, bool),
+    Isolate(usize),
     Outage(bool),
     Restart(usize),
     Stale(usize, usize),
@@ -61,6 +62,7 @@
         2 => (p.clone(), any::<bool>()).prop_map(|(p, cut)| Step::CutStore(p, cut)),
         2 => (p.clone(), p.clone(), any::<bool>())
             .prop_map(|(p, q, cut)| Step::CutPeers(p, q, cut)),
+        1 => p.clone().prop_map(Step::Isolate),
         1 => any::<bool>().prop_map(Step::Outage),
         2 => p.clone().prop_map(Step::Restart),
         1 => (p, n).prop_map(|(p, n)| Step::Stale(p, n)),
@@ -131,15 +133,12 @@
         for to in 0..PROCESSES {
             for from in (0..PROCESSES).filter(|from| self.linked(*from, to)) {
                 let (source, target) = (&self.process(from).keeper, &self.process(to).keeper);
-                if source.newest() > target.newest()
+                if target.hear(&source.news())
                     && let Some(record) = source.export()
                 {
                     let taken = target.offer(&record);
                     prop_assert!(taken.is_ok(), "peer record is refused: {taken:?}");
                 }
-                if let Some(age) = source.age() {
-                    target.confirm(source.newest(), age);
-                }
             }
         }
         Ok(())
@@ -229,6 +228,11 @@
                     self.cut.remove(&pair);
                 }
             }
+            Step::Isolate(p) => {
+                let others = (0..PROCESSES).filter(|other| *other != p);
+                self.cut
+                    .extend(others.map(|other| (p.min(other), p.max(other))));
+            }
             Step::Outage(down) => self.kv.faults.set_down(down),
             Step::Restart(p) => {
                 self.processes[p].1.cancel();
@@ -382,6 +386,10 @@
     world.pass(BOUND).await?;
     world.check_versions().await?;
     world.check_agreement().await?;
+    let rings: BTreeSet<u64> = (0..PROCESSES)
+        .map(|index| world.process(index).keeper.newest_ring())
+        .collect();
+    prop_assert_eq!(rings.len(), 1, "key rings differ: {:?}", rings);
     let report = world
         .process(0)
         .audit
--- a/tests/bundle_support/mod.rs
+++ b/tests/bundle_support/mod.rs
@@ -50,6 +50,7 @@
     pub kv: Arc<KvServer>,
     pub losses: Mutex<VecDeque<Option<Loss>>>,
     pauses: std::sync::atomic::AtomicBool,
+    missed: AtomicU64,
     paused: Notify,
     resumed: Notify,
     cut: std::sync::atomic::AtomicBool,
@@ -77,6 +78,11 @@
         self.pauses.store(true, Ordering::SeqCst);
     }
 
+    /// Lets the next watches end without telling of a change.
+    pub fn miss_notifications(&self, count: u64) {
+        self.missed.store(count, Ordering::SeqCst);
+    }
+
     pub async fn until_paused(&self) {
         self.paused.notified().await;
     }
@@ -142,7 +148,19 @@
         wait: Millis,
     ) -> Result<Vec<Record>, StoreError> {
         self.check()?;
-        self.kv.watch(prefix, after, wait).await
+        let found = self.kv.watch(prefix, after, wait).await?;
+        let is_missed = !found.is_empty()
+            && self
+                .missed
+                .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |count| {
+                    count.checked_sub(1)
+                })
+                .is_ok();
+        if is_missed {
+            tokio::time::sleep(wait.into()).await;
+            return Ok(Vec::new());
+        }
+        Ok(found)
     }
 }
 
@@ -193,6 +211,7 @@
         kv: Arc::clone(kv),
         losses: Mutex::default(),
         pauses: false.into(),
+        missed: AtomicU64::new(0),
         paused: Notify::new(),
         resumed: Notify::new(),
         cut: false.into(),
