--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -265,6 +265,7 @@
             vm: cfg.node.vm.clone(),
             zone: cfg.node.zone.clone(),
             address: cfg.listen.peers.to_string(),
+            listed: false,
         },
         region: cfg.node.region.clone(),
         vms_poll: cfg.platform.vms_poll_ms,
--- a/src/daemon/local.rs
+++ b/src/daemon/local.rs
@@ -12,6 +12,10 @@
 use crate::prelude::*;
 use crate::routing::Dispatcher;
 use crate::schema::peer::ServiceLoad;
+use crate::web::{decode, encode};
+
+/// Name of the bundle news among the digests of a heartbeat.
+const BUNDLE_DIGEST: &str = "bundle";
 
 /// Name of the drain record among the digests of a heartbeat.
 const DRAIN_DIGEST: &str = "drain";
@@ -59,17 +63,31 @@
     }
 
     fn digests(&self) -> BTreeMap<String, Vec<u8>> {
-        let drains = self.drains.export();
-        drains
-            .map(|buf| (DRAIN_DIGEST.to_string(), buf))
+        let bundle = encode(&self.keeper.news()).ok();
+        let digests = [
+            (BUNDLE_DIGEST, bundle),
+            (DRAIN_DIGEST, self.drains.export()),
+        ];
+        digests
             .into_iter()
+            .filter_map(|(name, buf)| Some((name.to_string(), buf?)))
             .collect()
     }
 
-    fn take_digests(&self, _from: &MemberId, digests: &BTreeMap<String, Vec<u8>>) {
+    fn take_digests(&self, from: &MemberId, digests: &BTreeMap<String, Vec<u8>>) -> bool {
         if let Some(buf) = digests.get(DRAIN_DIGEST) {
             self.drains.offer(buf);
         }
+        let Some(buf) = digests.get(BUNDLE_DIGEST) else {
+            return false;
+        };
+        match decode(buf) {
+            Ok(news) => self.keeper.hear(&news),
+            Err(err) => {
+                tracing::warn!(%from, err, "bundle news of a peer cannot be read");
+                false
+            }
+        }
     }
 
     fn offer_bundle(&self, bundle: Vec<u8>) {
--- a/src/peer/local.rs
+++ b/src/peer/local.rs
@@ -39,8 +39,10 @@
         BTreeMap::new()
     }
 
-    /// Takes the digests of a peer.
-    fn take_digests(&self, _from: &MemberId, _digests: &BTreeMap<String, Vec<u8>>) {}
+    /// Takes the digests of a peer; returns whether the peer has a bundle record to fetch.
+    fn take_digests(&self, _from: &MemberId, _digests: &BTreeMap<String, Vec<u8>>) -> bool {
+        false
+    }
 }
 
 /// A process without services and bundles.
--- a/src/peer/node.rs
+++ b/src/peer/node.rs
@@ -168,8 +168,8 @@
             loads: beat.loads.clone(),
         };
         self.peers.lock().insert(beat.member.clone(), news);
-        self.local.take_digests(&beat.member, &beat.digests);
-        if beat.bundle > self.local.bundle_version() {
+        let wants_bundle = self.local.take_digests(&beat.member, &beat.digests);
+        if wants_bundle || beat.bundle > self.local.bundle_version() {
             let address = self.state.lock().address_of(&beat.member);
             if let Some(address) = address {
                 self.fetch_bundle(address);
--- a/src/schema/config.rs
+++ b/src/schema/config.rs
@@ -8,12 +8,18 @@
     pub struct ConversionError(::std::borrow::Cow<'static, str>);
     impl ::std::error::Error for ConversionError {}
     impl ::std::fmt::Display for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Display::fmt(&self.0, f)
         }
     }
     impl ::std::fmt::Debug for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Debug::fmt(&self.0, f)
         }
     }
@@ -59,7 +65,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum AuditAction {
     #[serde(rename = "bootstrap")]
@@ -106,7 +112,9 @@
 }
 impl ::std::str::FromStr for AuditAction {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "bootstrap" => Ok(Self::Bootstrap),
             "propose" => Ok(Self::Propose),
@@ -124,7 +132,9 @@
 }
 impl ::std::convert::TryFrom<&str> for AuditAction {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -201,7 +211,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum AuditOutcome {
     #[serde(rename = "attempted")]
@@ -233,7 +243,9 @@
 }
 impl ::std::str::FromStr for AuditOutcome {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "attempted" => Ok(Self::Attempted),
             "done" => Ok(Self::Done),
@@ -246,7 +258,9 @@
 }
 impl ::std::convert::TryFrom<&str> for AuditOutcome {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -404,7 +418,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum ErrorKind {
     #[serde(rename = "bad_input")]
@@ -448,7 +462,9 @@
 }
 impl ::std::str::FromStr for ErrorKind {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "bad_input" => Ok(Self::BadInput),
             "unauthenticated" => Ok(Self::Unauthenticated),
@@ -465,7 +481,9 @@
 }
 impl ::std::convert::TryFrom<&str> for ErrorKind {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -633,7 +651,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum ProposalKind {
     #[serde(rename = "change")]
@@ -656,7 +674,9 @@
 }
 impl ::std::str::FromStr for ProposalKind {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "change" => Ok(Self::Change),
             "roll_back" => Ok(Self::RollBack),
@@ -666,7 +686,9 @@
 }
 impl ::std::convert::TryFrom<&str> for ProposalKind {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -698,7 +720,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum ProposalState {
     #[serde(rename = "proposed")]
@@ -733,7 +755,9 @@
 }
 impl ::std::str::FromStr for ProposalState {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "proposed" => Ok(Self::Proposed),
             "reviewed" => Ok(Self::Reviewed),
@@ -747,7 +771,9 @@
 }
 impl ::std::convert::TryFrom<&str> for ProposalState {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -902,7 +928,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum Role {
     #[serde(rename = "propose")]
@@ -940,7 +966,9 @@
 }
 impl ::std::str::FromStr for Role {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "propose" => Ok(Self::Propose),
             "review" => Ok(Self::Review),
@@ -955,7 +983,9 @@
 }
 impl ::std::convert::TryFrom<&str> for Role {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -7,8 +7,12 @@
 #[rustfmt::skip]
 pub mod bundle;
 #[rustfmt::skip]
-pub mod dedup;
 pub mod config;
+#[rustfmt::skip]
+pub mod dedup;
+#[rustfmt::skip]
+pub mod drain;
+#[rustfmt::skip]
 pub mod peer;
 #[rustfmt::skip]
 pub mod settings;
@@ -16,5 +20,3 @@
 pub mod vm;
 #[rustfmt::skip]
 pub mod worker;
-#[rustfmt::skip]
-pub mod drain;
--- a/src/schema/peer.rs
+++ b/src/schema/peer.rs
@@ -8,12 +8,18 @@
     pub struct ConversionError(::std::borrow::Cow<'static, str>);
     impl ::std::error::Error for ConversionError {}
     impl ::std::fmt::Display for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Display::fmt(&self.0, f)
         }
     }
     impl ::std::fmt::Debug for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Debug::fmt(&self.0, f)
         }
     }
@@ -38,7 +44,10 @@
     ///Newest bundle version of the sender.
     pub bundle: crate::model::Version,
     ///Digests of other modules by short name.
-    pub digests: ::std::collections::BTreeMap<::std::string::String, ::std::vec::Vec<u8>>,
+    pub digests: ::std::collections::BTreeMap<
+        ::std::string::String,
+        ::std::vec::Vec<u8>,
+    >,
     ///Newest epoch whose slot shares the sender keeps to.
     pub drained: crate::model::Epoch,
     ///Newest epoch that the sender has adopted; zero before the first.
