Gain job shards within an epoch, and evict from drained workers without budget

Cause: a job shard whose previous owner let go of it after the epoch was adopted stayed without an owner for good (seen as 'job shard 31 belongs to another member' whenever the members joined in two epochs); a drain waited for the eviction budget, which starts empty. Change: newly entitled shards are taken in every round; a drain stops tasks with a checkpoint regardless of the budget. The new test fails without the change of the job owner.

--- a/src/batch/node.rs
+++ b/src/batch/node.rs
@@ -94,10 +94,9 @@
         evicted
     }
 
-    /// Evicts all running attempts from a drained worker of an own rack, within the budget.
+    /// Evicts all running attempts from a worker of an own rack that an operator drains.
     pub fn evict_all(&self, worker: &VmId) {
-        let now = self.now();
-        self.racks.lock().evict_all(worker, now);
+        self.racks.lock().evict_all(worker);
         self.wake.notify_one();
     }
 
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -107,21 +107,29 @@
     /// Adopts the current epoch: takes new shards over and lets go of others.
     pub fn adopt_epoch(&mut self) {
         let epoch = self.ownership.epoch();
-        if epoch <= self.epoch {
-            return;
+        if epoch > self.epoch {
+            self.start_epoch(epoch);
         }
-        self.epoch = epoch;
-        let me = self.ownership.me();
-        let owned: BTreeSet<u32> = (0..SHARDS)
-            .filter(|shard| self.ownership.shard_owner(*shard).as_ref() == Some(&me))
-            .collect();
-        self.shards.retain(|shard, _| owned.contains(shard));
-        for shard in owned {
+        // A shard can be gained within an epoch, when its previous owner has let go of it.
+        for shard in self.owned_shards() {
             self.shards
                 .entry(shard)
-                .or_insert_with(|| JobShard::new(&self.region, shard))
-                .reopen();
+                .or_insert_with(|| JobShard::new(&self.region, shard));
         }
+    }
+
+    fn owned_shards(&self) -> BTreeSet<u32> {
+        let me = self.ownership.me();
+        (0..SHARDS)
+            .filter(|shard| self.ownership.shard_owner(*shard).as_ref() == Some(&me))
+            .collect()
+    }
+
+    fn start_epoch(&mut self, epoch: Epoch) {
+        self.epoch = epoch;
+        let owned = self.owned_shards();
+        self.shards.retain(|shard, _| owned.contains(shard));
+        self.shards.values_mut().for_each(JobShard::reopen);
         self.asked.clear();
         self.placing.clear();
         self.releases.clear();
--- a/src/placement/correct.rs
+++ b/src/placement/correct.rs
@@ -1,6 +1,6 @@
 //! Correction of placements that slow a service: throttle first, then checkpoint and evict.
 
-use super::entry::Phase;
+use super::entry::{Entry, Phase};
 use super::free_index::Slot;
 use super::owner::RackOwner;
 use super::worker_book::WorkerBook;
@@ -13,6 +13,12 @@
 /// Share of a task that is not throttled.
 const FULL_SHARE: Permille = Permille(1000);
 
+/// Phase of an attempt that is to be stopped with a checkpoint.
+const SAVE_AND_STOP: Phase = Phase::Stopping {
+    save: true,
+    sent: false,
+};
+
 impl RackOwner {
     /// Takes in the measured slowdown of the service on a worker; 1000 is full speed.
     pub fn service_sample(&mut self, worker: &VmId, slowdown: Permille, age: Millis, now: Millis) {
@@ -92,10 +98,7 @@
             && self.budget.take(now)
             && let Some(entry) = book.entries.get_mut(&task)
         {
-            entry.phase = Phase::Stopping {
-                save: true,
-                sent: false,
-            };
+            entry.phase = SAVE_AND_STOP;
             book.corrected_at = Some(now);
         }
     }
@@ -120,44 +123,39 @@
         }
     }
 
-    /// Evicts a running attempt: it is checkpointed, stopped and reported to its job owner.
+    /// Evicts a running attempt with a checkpoint, within the eviction budget.
     pub fn evict(&mut self, worker: &VmId, task: &TaskId, now: Millis) -> bool {
-        let Some(book) = self
-            .slots
-            .get(worker)
-            .and_then(|slot| self.books.get_mut(slot))
-        else {
-            return false;
-        };
-        let Some(entry) = book
-            .entries
-            .get_mut(task)
-            .filter(|entry| entry.phase == Phase::Running)
-        else {
-            return false;
-        };
-        if !self.budget.take(now) {
+        if self.running(worker, task).is_none() || !self.budget.take(now) {
             return false;
         }
-        entry.phase = Phase::Stopping {
-            save: true,
-            sent: false,
-        };
+        if let Some(entry) = self.running(worker, task) {
+            entry.phase = SAVE_AND_STOP;
+        }
         true
     }
 
-    /// Evicts all running attempts from a worker, as far as the eviction budget allows.
-    pub fn evict_all(&mut self, worker: &VmId, now: Millis) {
-        let tasks: Vec<TaskId> = self
-            .slots
-            .get(worker)
-            .and_then(|slot| self.books.get(slot))
-            .map(|book| book.entries.keys().cloned().collect())
-            .unwrap_or_default();
-        for task in tasks {
-            self.evict(worker, &task, now);
+    /// Evicts all running attempts from a worker that an operator drains.
+    ///
+    /// The budget bounds what the system decides by itself and does not apply here.
+    pub fn evict_all(&mut self, worker: &VmId) {
+        let Some(slot) = self.slots.get(worker) else {
+            return;
+        };
+        let Some(book) = self.books.get_mut(slot) else {
+            return;
+        };
+        for entry in book.entries.values_mut() {
+            if entry.phase == Phase::Running {
+                entry.phase = SAVE_AND_STOP;
+            }
         }
     }
+
+    fn running(&mut self, worker: &VmId, task: &TaskId) -> Option<&mut Entry> {
+        let slot = self.slots.get(worker)?;
+        let entry = self.books.get_mut(slot)?.entries.get_mut(task)?;
+        (entry.phase == Phase::Running).then_some(entry)
+    }
 }
 
 fn is_slow(book: &WorkerBook, bundle: &Bundle, now: Millis) -> Option<bool> {
--- a/tests/batch_node.rs
+++ b/tests/batch_node.rs
@@ -9,7 +9,7 @@
 use batch_support::{bundle, id, job, worker};
 use sapphirecroft::batch::{BatchNode, BatchParts, PeerCalls, Refusal};
 use sapphirecroft::bundle::ActiveBundle;
-use sapphirecroft::membership::SoleOwner;
+use sapphirecroft::membership::{Ownership, SoleOwner};
 use sapphirecroft::platform::{AgentCommand, WorkerAgent};
 use sapphirecroft::prelude::*;
 use sapphirecroft::schema::batch::{JobFilter, JobPhase, JobSpec, JobView};
@@ -107,6 +107,15 @@
     bundle: &Arc<ActiveBundle>,
 ) -> Arc<BatchNode> {
     let ownership = Arc::new(SoleOwner::new(id("m1")));
+    node_of(ownership, store, agents, bundle)
+}
+
+fn node_of(
+    ownership: Arc<dyn Ownership>,
+    store: &Arc<KvServer>,
+    agents: &Arc<Agents>,
+    bundle: &Arc<ActiveBundle>,
+) -> Arc<BatchNode> {
     BatchNode::new(BatchParts {
         region: id("r1"),
         store: store.clone(),
@@ -262,3 +271,76 @@
     let took = before.elapsed().as_secs();
     assert!((8..18).contains(&took), "resumed run took {took} s");
 }
+
+/// Ownership whose previous owner lets go of everything only after a while, in the same epoch.
+struct LateOwner {
+    inner: SoleOwner,
+    granted: std::sync::atomic::AtomicBool,
+}
+
+impl Ownership for LateOwner {
+    fn me(&self) -> MemberId {
+        self.inner.me()
+    }
+
+    fn epoch(&self) -> Epoch {
+        self.inner.epoch()
+    }
+
+    fn is_active(&self) -> bool {
+        true
+    }
+
+    fn epoch_seen_at(&self) -> Millis {
+        self.inner.epoch_seen_at()
+    }
+
+    fn rack_owner(&self, rack: &RackId) -> Option<MemberId> {
+        self.is_granted().then(|| self.inner.rack_owner(rack))?
+    }
+
+    fn shard_owner(&self, shard: u32) -> Option<MemberId> {
+        self.is_granted().then(|| self.inner.shard_owner(shard))?
+    }
+
+    fn key_holders(&self, key: &str) -> Vec<MemberId> {
+        self.inner.key_holders(key)
+    }
+
+    fn peer_addr(&self, _member: &MemberId) -> Option<String> {
+        None
+    }
+}
+
+impl LateOwner {
+    fn is_granted(&self) -> bool {
+        self.granted.load(std::sync::atomic::Ordering::SeqCst)
+    }
+}
+
+/// Guards against job shards that stay without an owner when their previous owner lets go of
+/// them within an epoch.
+#[tokio::test(start_paused = true)]
+async fn shards_gained_within_an_epoch_accept_jobs() {
+    let store = KvServer::new();
+    let agents = Arc::new(Agents(BTreeMap::new()));
+    let active = Arc::new(ActiveBundle::default());
+    active.raise(bundle());
+    let ownership = Arc::new(LateOwner {
+        inner: SoleOwner::new(id("m1")),
+        granted: false.into(),
+    });
+    let node = node_of(ownership.clone(), &store, &agents, &active);
+    let vms: Vec<_> = (0..2).map(worker).collect();
+    node.set_vms(&vms);
+    tokio::spawn(node.clone().run(CancellationToken::new()));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    ownership
+        .granted
+        .store(true, std::sync::atomic::Ordering::SeqCst);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    let submitted = node.submit(small("late", 1, 1000)).await;
+    assert!(submitted.is_ok(), "{submitted:?}");
+}
