--- a/src/dev/scenario.rs
+++ b/src/dev/scenario.rs
@@ -298,7 +298,7 @@
             deadline: Millis(2000),
             work: Millis(rng.random_range(2..40)),
             answer_bytes: rng.random_range(0..40_000),
-            key: (number % 5 == 0).then(|| format!("key-{number}")),
+            key: number.is_multiple_of(5).then(|| format!("key-{number}")),
         };
         let (client, shared) = (client.clone(), shared.clone());
         requests.spawn(async move {
--- a/src/drain/drained.rs
+++ b/src/drain/drained.rs
@@ -41,6 +41,7 @@
     }
 }
 
+#[expect(clippy::derivable_impls, reason = "the type is generated")]
 impl Default for DrainRecord {
     fn default() -> Self {
         Self {
