Let one good answer after a pause count

An endpoint that was slow before a pause stayed avoided for good: each retry averaged its new latency with the estimate from before the pause and renewed it. The sample now joins the aged estimate.

--- a/src/routing/endpoint.rs
+++ b/src/routing/endpoint.rs
@@ -1,5 +1,6 @@
 //! State of one endpoint as seen by this process.
 
+use super::fleet::Attempt;
 use super::health::Health;
 use super::{EndpointShare, Outcome};
 use crate::admission::ConcurrencyLimit;
@@ -90,22 +91,26 @@
         self.started.push(now);
     }
 
-    /// Frees the slot of a request that started at `started` and learns from its outcome.
-    pub fn end(&mut self, started: Millis, probe: bool, outcome: Outcome, now: Millis) {
+    /// Frees the slot of an attempt and learns from its outcome.
+    pub fn end(&mut self, attempt: &Attempt, outcome: Outcome, typical: f64, now: Millis) {
         let in_progress = self.in_progress();
-        if let Some(at) = self.started.iter().position(|held| *held == started) {
+        if let Some(at) = self
+            .started
+            .iter()
+            .position(|held| *held == attempt.started)
+        {
             self.started.swap_remove(at);
         }
         match outcome {
             Outcome::Success { latency } => {
-                self.learn(latency, now);
+                self.learn(latency, typical, now);
                 self.limit.record(latency, in_progress, now);
             }
             Outcome::Silent => self.limit.stall(),
             _ => {}
         }
         self.health.record(outcome, now);
-        if probe {
+        if attempt.probe {
             self.health.end_probe(outcome, now);
         }
     }
@@ -115,21 +120,31 @@
     /// `typical` is the service's geometric mean of latencies. An estimate loses weight with its
     /// age, and a request that is overdue counts as a sample of its present age.
     pub fn expected_delay(&self, typical: f64, now: Millis) -> f64 {
-        let own = self.log_latency.map_or(typical, |log| {
-            let age = now.since(self.sampled).get() as f64;
-            let weight = 0.5_f64.powf(age / ESTIMATE_HALF_LIFE.get() as f64);
-            (typical.ln() + (log - typical.ln()) * weight).exp()
-        });
+        let own = self.log_estimate(typical, now).exp();
         let overdue = self.started.iter().map(|at| now.since(*at).get()).max();
         let base = own.max(overdue.unwrap_or(0) as f64);
         let usage = f64::from(self.in_progress()) / f64::from(self.limit.get().max(1));
         base * (1.0 + usage) * self.health.penalty(now)
     }
 
+    /// Returns the logarithm of the estimated latency, which approaches the typical one with age.
+    fn log_estimate(&self, typical: f64, now: Millis) -> f64 {
+        let typical = typical.ln();
+        self.log_latency.map_or(typical, |log| {
+            let age = now.since(self.sampled).get() as f64;
+            let weight = 0.5_f64.powf(age / ESTIMATE_HALF_LIFE.get() as f64);
+            typical + (log - typical) * weight
+        })
+    }
+
     /// Averages the logarithm, because single long answers would dominate a plain mean.
-    fn learn(&mut self, latency: Millis, now: Millis) {
+    ///
+    /// The sample is added to the aged estimate: added to the old one, a single answer after a
+    /// long pause would renew an estimate from before the pause.
+    fn learn(&mut self, latency: Millis, typical: f64, now: Millis) {
         let sample = (latency.get().max(1) as f64).ln();
-        self.log_latency = Some(match self.log_latency {
+        let aged = self.log_latency.map(|_| self.log_estimate(typical, now));
+        self.log_latency = Some(match aged {
             Some(log) => log + (sample - log) * SAMPLE_WEIGHT,
             None => sample,
         });
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -112,7 +112,8 @@
             let sample = (latency.get().max(1) as f64).ln();
             self.log_typical += (sample - self.log_typical) * SAMPLE_WEIGHT;
         }
-        self.endpoints[at].end(attempt.started, attempt.probe, outcome, now);
+        let typical = self.log_typical.exp();
+        self.endpoints[at].end(attempt, outcome, typical, now);
         if self.endpoints[at].health.is_failing() && self.may_eject() {
             self.endpoints[at].health.eject(now);
         }
