Use probed or fresh connections for second attempts

With every open connection silent at once, hedged and repeated attempts took idle connections that were silent too and 6 of 16 requests ended unknown. Second attempts now open a connection or probe an idle one, and idle connections are closed once one of them is found silent.

--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -8,6 +8,7 @@
 
 use super::link::Link;
 use super::out_body::OutBody;
+use super::pool::Trust;
 use super::wire::WireStats;
 use super::{Clock, Pool};
 use crate::prelude::*;
@@ -42,8 +43,7 @@
 pub(super) struct Attempt {
     pub(super) pool: Arc<Pool>,
     pub(super) clock: Clock,
-    /// Probes connections that were idle before they are used.
-    pub(super) careful: bool,
+    pub(super) trust: Trust,
     pub(super) deadline: Millis,
     /// Ends the attempt; its connection is closed.
     pub(super) dead: CancellationToken,
@@ -61,7 +61,7 @@
         suspect: impl FnOnce(),
     ) -> Result<Won, Outcome> {
         let acquired = tokio::select! {
-            link = self.pool.acquire(self.careful, self.deadline) => link,
+            link = self.pool.acquire(self.trust, self.deadline) => link,
             () = self.dead.cancelled() => None,
         };
         let mut link = acquired.ok_or(Outcome::NotSent)?;
@@ -136,7 +136,7 @@
                 quiet_from = progress;
                 continue;
             }
-            if self.pool.probe(limit).await {
+            if self.pool.replace_silent(limit).await {
                 return;
             }
             quiet_from = self.clock.now();
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -8,6 +8,7 @@
 use super::gauge::InProgress;
 use super::head::{DEADLINE, Head, header_value};
 use super::out_body::{OutBody, Piece};
+use super::pool::Trust;
 use crate::prelude::*;
 use crate::routing::{Arrival, RequestId};
 
@@ -42,6 +43,15 @@
         self.head.idempotent && matches!(self.body, CallBody::Whole(_))
     }
 
+    /// Returns how far the first attempt trusts an idle connection.
+    pub(super) fn trust(&self) -> Trust {
+        if self.head.idempotent {
+            Trust::Idle
+        } else {
+            Trust::Recent
+        }
+    }
+
     /// Describes the request to the dispatcher.
     pub(super) fn arrival(&self, forwarded: bool, now: Millis) -> Arrival {
         Arrival {
--- a/src/proxy/drive.rs
+++ b/src/proxy/drive.rs
@@ -94,7 +94,7 @@
     let attempt = Attempt {
         pool: shared.pools.peer(addr),
         clock: shared.clock,
-        careful: !call.head.idempotent,
+        trust: call.trust(),
         deadline: call.deadline,
         dead: dead.clone(),
         silent_after: None,
--- a/src/proxy/keyed.rs
+++ b/src/proxy/keyed.rs
@@ -178,7 +178,7 @@
     let mut pending = messages;
     while !pending.is_empty() {
         let current = shared.keys.view().map(|view| view.epoch());
-        if current != Some(epoch) || shared.cancel.is_cancelled() && pending.is_empty() {
+        if current != Some(epoch) {
             return;
         }
         let mut failed = Vec::new();
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -38,6 +38,17 @@
     open_gauge: IntGauge,
 }
 
+/// How far an idle connection is trusted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Trust {
+    /// Any connection that has not been idle for too long.
+    Idle,
+    /// Connections that were used recently, or that answer a probe.
+    Recent,
+    /// Fresh connections, or those that answer a probe; for requests that were already delayed.
+    Probed,
+}
+
 /// The right to have one connection open.
 pub(super) struct Permit {
     pool: Arc<Pool>,
@@ -86,14 +97,23 @@
 
     /// Returns a connection, or `None` if none became available in time.
     ///
-    /// With `careful`, a connection that has been idle for a while is probed first.
-    pub(super) async fn acquire(self: &Arc<Self>, careful: bool, until: Millis) -> Option<Link> {
+    /// Idle connections that are not trusted are probed first.
+    pub(super) async fn acquire(self: &Arc<Self>, trust: Trust, until: Millis) -> Option<Link> {
         loop {
             let freed = self.freed.notified();
-            match self.step() {
+            let step = match trust {
+                Trust::Probed => self.permit().map_or_else(|| self.step(), Step::Open),
+                Trust::Idle | Trust::Recent => self.step(),
+            };
+            match step {
                 Step::Reuse(mut link) => {
                     let idle = self.clock.now().since(link.idle_since);
-                    if careful && idle > PROBE_AFTER && !link.probe(PROBE_TIMEOUT).await {
+                    let probe = match trust {
+                        Trust::Idle => false,
+                        Trust::Recent => idle > PROBE_AFTER,
+                        Trust::Probed => true,
+                    };
+                    if probe && !link.probe(PROBE_TIMEOUT).await {
                         continue;
                     }
                     return Some(link);
@@ -108,7 +128,9 @@
     }
 
     /// Probes the address on a connection of its own; tells whether it answered.
-    pub(super) async fn probe(self: &Arc<Self>, timeout: Millis) -> bool {
+    ///
+    /// If so, the idle connections are closed: they may be as silent as the one in question.
+    pub(super) async fn replace_silent(self: &Arc<Self>, timeout: Millis) -> bool {
         let Some(permit) = self.permit() else {
             return false;
         };
@@ -117,6 +139,8 @@
         };
         let answered = link.probe(timeout).await;
         if answered {
+            let idle = std::mem::take(&mut self.state.lock().idle);
+            drop(idle);
             self.put_back(link);
         }
         answered
--- a/src/proxy/settle.rs
+++ b/src/proxy/settle.rs
@@ -12,6 +12,7 @@
 use super::attempt::{Attempt, Won};
 use super::board::Ticket;
 use super::call::Call;
+use super::pool::Trust;
 use super::reply::{RETRY_AFTER, Reply};
 use super::shared::Shared;
 use crate::admission::Refusal;
@@ -75,6 +76,8 @@
     suspects: (mpsc::UnboundedSender<VmId>, mpsc::UnboundedReceiver<VmId>),
     silent_after: Millis,
     hedge_after: Option<Millis>,
+    /// Whether the next attempt is the first one of the request.
+    first: bool,
 }
 
 /// Asks the dispatcher where to send the request and follows its decisions.
@@ -92,6 +95,7 @@
     let Some((ticket, mut verdict)) = decided else {
         return Settled::Reply(refused(Refusal::WaitedTooLong, RETRY_AFTER, may_have_run));
     };
+    let mut first = true;
     loop {
         let pick = match verdict {
             Verdict::Send(pick) => pick,
@@ -111,7 +115,7 @@
                 return Settled::Reply(lost(shared, call));
             }
         };
-        let outcome = match Round::new(shared, call, &ticket).run(pick).await {
+        let outcome = match Round::new(shared, call, &ticket, first).run(pick).await {
             Step::Won(won, version, others) => {
                 return Settled::Won(Box::new(Victory {
                     won,
@@ -122,6 +126,7 @@
             }
             Step::Ended(outcome) => outcome,
         };
+        first = false;
         may_have_run |= !outcome.is_not_run();
         let in_time = shared.clock.now() < call.deadline;
         if !in_time || !may_resend(outcome, call.head.idempotent) || !call.is_sendable() {
@@ -156,7 +161,7 @@
 }
 
 impl<'a> Round<'a> {
-    fn new(shared: &'a Arc<Shared>, call: &'a Arc<Call>, ticket: &'a Ticket) -> Self {
+    fn new(shared: &'a Arc<Shared>, call: &'a Arc<Call>, ticket: &'a Ticket, first: bool) -> Self {
         let p99 = shared.board.read(|dispatcher| {
             let load = dispatcher.load(&call.head.service);
             load.p99
@@ -170,6 +175,7 @@
             suspects: mpsc::unbounded_channel(),
             silent_after: Millis(p99.get() * SILENCE_FACTOR).max(MIN_SILENCE),
             hedge_after: (p99 > Millis::ZERO).then(|| p99.max(MIN_HEDGE_DELAY)),
+            first,
         }
     }
 
@@ -225,11 +231,16 @@
                 .pools
                 .endpoint(pick.address.0, shared.one_slot(&call.head.service)),
             clock: shared.clock,
-            careful: !call.head.idempotent,
+            trust: if self.first {
+                call.trust()
+            } else {
+                Trust::Probed
+            },
             deadline: call.deadline,
             dead,
             silent_after: Some(self.silent_after).filter(|_| call.is_repeatable()),
         };
+        self.first = false;
         let tx = self.suspects.0.clone();
         self.attempts.push(Box::pin(async move {
             let vm = pick.vm.clone();
