Give up silent connections to peers and ask again for a hedge

Forwarded idempotent requests waited for a silent peer until their deadline; they are now given up half-way and tried here. A request that got no hedge asks again while it waits, and a granted hedge has the whole time left.

--- a/src/proxy/drive.rs
+++ b/src/proxy/drive.rs
@@ -1,7 +1,7 @@
 //! The way of one request from its arrival to its answer, on the main runtime.
 
 use http::StatusCode;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use super::attempt::{Attempt, Won, WonBody};
 use super::call::Call;
@@ -9,7 +9,7 @@
 use super::metrics::End;
 use super::relay::{Outlet, pass_on, relay};
 use super::reply::{OUTCOME, Reply};
-use super::settle::{Settled, lost, settle};
+use super::settle::{Settled, lost, p99, patience, settle, silent_after};
 use super::shared::Shared;
 use crate::dedup::Completion;
 use crate::prelude::*;
@@ -97,7 +97,9 @@
         trust: call.trust(),
         deadline: call.deadline,
         dead: dead.clone(),
-        silent_after: None,
+        silent_after: call
+            .is_repeatable()
+            .then(|| silent_after(p99(shared, &call.head.service))),
     };
     let prefix = format!("{}{}", Face::Peers.prefix(), call.head.service);
     let build = || {
@@ -105,11 +107,23 @@
         let left = call.deadline.since(shared.clock.now());
         call.request(&prefix, &marks, left)
     };
-    let run = attempt.run(build, || {});
+    let suspect = Arc::new(Notify::new());
+    let tell = suspect.clone();
+    let run = attempt.run(build, move || tell.notify_one());
+    let give_up = async {
+        suspect.notified().await;
+        let until = patience(shared.clock.now(), call.deadline);
+        shared.clock.sleep_until(until).await;
+    };
     tokio::pin!(run);
     let result = tokio::select! {
-        result = &mut run => result,
-        () = shared.clock.sleep_until(call.deadline) => {
+        result = &mut run => Some(result),
+        () = give_up => None,
+        () = shared.clock.sleep_until(call.deadline) => None,
+    };
+    let result = match result {
+        Some(result) => result,
+        None => {
             dead.cancel();
             run.await
         }
--- a/src/proxy/settle.rs
+++ b/src/proxy/settle.rs
@@ -160,12 +160,24 @@
     }
 }
 
+/// Returns the 99th percentile of a service's latency; zero if it is not known.
+pub(super) fn p99(shared: &Shared, service: &ServiceId) -> Millis {
+    shared.board.read(|dispatcher| dispatcher.load(service).p99)
+}
+
+/// Returns the time without progress that makes a connection suspect.
+pub(super) fn silent_after(p99: Millis) -> Millis {
+    Millis(p99.get() * SILENCE_FACTOR).max(MIN_SILENCE)
+}
+
+/// Returns the time at which a request on a silent connection is given up.
+pub(super) fn patience(now: Millis, deadline: Millis) -> Millis {
+    now + Millis(deadline.since(now).get() / PATIENCE_DIVISOR)
+}
+
 impl<'a> Round<'a> {
     fn new(shared: &'a Arc<Shared>, call: &'a Arc<Call>, ticket: &'a Ticket, first: bool) -> Self {
-        let p99 = shared.board.read(|dispatcher| {
-            let load = dispatcher.load(&call.head.service);
-            load.p99
-        });
+        let p99 = p99(shared, &call.head.service);
         Self {
             shared,
             call,
@@ -173,7 +185,7 @@
             attempts: FuturesUnordered::new(),
             running: Vec::new(),
             suspects: mpsc::unbounded_channel(),
-            silent_after: Millis(p99.get() * SILENCE_FACTOR).max(MIN_SILENCE),
+            silent_after: silent_after(p99),
             hedge_after: (p99 > Millis::ZERO).then(|| p99.max(MIN_HEDGE_DELAY)),
             first,
         }
@@ -190,7 +202,12 @@
             tokio::select! {
                 () = hedge_due, if hedge_at.is_some() => {
                     hedge_at = None;
-                    self.hedge();
+                    if self.hedge() {
+                        give_up = deadline;
+                    } else if self.all_suspect() {
+                        // The retry budget may have grown by then.
+                        hedge_at = Some(clock.now() + self.silent_after);
+                    }
                 }
                 Some((pick, result)) = self.attempts.next() => {
                     self.running.retain(|held| held.vm != pick.vm);
@@ -206,9 +223,9 @@
                     for held in self.running.iter_mut().filter(|held| held.vm == vm) {
                         held.suspect = true;
                     }
-                    if !self.hedge() {
-                        let left = deadline.since(clock.now());
-                        give_up = give_up.min(clock.now() + Millis(left.get() / PATIENCE_DIVISOR));
+                    if !self.hedge() && self.all_suspect() {
+                        give_up = give_up.min(patience(clock.now(), deadline));
+                        hedge_at = Some(clock.now() + self.silent_after);
                     }
                 }
                 () = clock.sleep_until(give_up) => {
@@ -254,6 +271,10 @@
         }));
     }
 
+    fn all_suspect(&self) -> bool {
+        self.running.iter().all(|held| held.suspect)
+    }
+
     /// Starts a second attempt if the dispatcher grants one.
     fn hedge(&mut self) -> bool {
         if self.running.len() > 1 || !self.call.is_repeatable() {
--- a/tests/proxy_keys.rs
+++ b/tests/proxy_keys.rs
@@ -220,6 +220,29 @@
     assert_eq!(raw.heads.lock().len(), 1);
 }
 
+/// Guards against forwarded requests that wait for a silent peer until their deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connection_to_a_peer_is_given_up_before_the_deadline() {
+    let ring = Ring::new(&["entry-a", "entry-b"]);
+    let bare = Entry::start(&ring, "entry-a", Vec::new()).await;
+    bare.set_peers(&["entry-b"]);
+    let peer = endpoints(1).await;
+    ring.set_addr(&id("entry-b"), peer[0].addr());
+    call(bare.addr, get("warm", 1, 0)).await;
+    peer[0].faults.silence_open_connections();
+    let mut req = get("r", 1, 0);
+    let deadline = "6000".parse().expect("value");
+    req.headers_mut()
+        .insert("sapphirecroft-deadline-ms", deadline);
+
+    let silent = call(bare.addr, req).await;
+    let fresh = call(bare.addr, get("fresh", 1, 0)).await;
+
+    assert_eq!(silent.status, StatusCode::BAD_GATEWAY, "{silent:?}");
+    assert_eq!(silent.outcome(), "unknown");
+    assert!(fresh.is_whole_answer_to("fresh"), "{fresh:?}");
+}
+
 /// Guards against a request that is cut short by its caller and runs all the same.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_cut_off_by_its_caller_does_not_run() {
