--- a/src/proxy/settle.rs
+++ b/src/proxy/settle.rs
@@ -12,6 +12,7 @@
 use super::attempt::{Attempt, Won};
 use super::board::Ticket;
 use super::call::Call;
+use super::pool::Trust;
 use super::reply::{RETRY_AFTER, Reply};
 use super::shared::Shared;
 use crate::admission::Refusal;
@@ -75,6 +76,8 @@
     suspects: (mpsc::UnboundedSender<VmId>, mpsc::UnboundedReceiver<VmId>),
     silent_after: Millis,
     hedge_after: Option<Millis>,
+    /// Whether the next attempt is the first one of the request.
+    first: bool,
 }
 
 /// Asks the dispatcher where to send the request and follows its decisions.
@@ -92,6 +95,7 @@
     let Some((ticket, mut verdict)) = decided else {
         return Settled::Reply(refused(Refusal::WaitedTooLong, RETRY_AFTER, may_have_run));
     };
+    let mut first = true;
     loop {
         let pick = match verdict {
             Verdict::Send(pick) => pick,
@@ -111,7 +115,7 @@
                 return Settled::Reply(lost(shared, call));
             }
         };
-        let outcome = match Round::new(shared, call, &ticket).run(pick).await {
+        let outcome = match Round::new(shared, call, &ticket, first).run(pick).await {
             Step::Won(won, version, others) => {
                 return Settled::Won(Box::new(Victory {
                     won,
@@ -122,6 +126,7 @@
             }
             Step::Ended(outcome) => outcome,
         };
+        first = false;
         may_have_run |= !outcome.is_not_run();
         let in_time = shared.clock.now() < call.deadline;
         if !in_time || !may_resend(outcome, call.head.idempotent) || !call.is_sendable() {
@@ -155,12 +160,24 @@
     }
 }
 
+/// Returns the 99th percentile of a service's latency; zero if it is not known.
+pub(super) fn p99(shared: &Shared, service: &ServiceId) -> Millis {
+    shared.board.read(|dispatcher| dispatcher.load(service).p99)
+}
+
+/// Returns the time without progress that makes a connection suspect.
+pub(super) fn silent_after(p99: Millis) -> Millis {
+    Millis(p99.get() * SILENCE_FACTOR).max(MIN_SILENCE)
+}
+
+/// Returns the time at which a request on a silent connection is given up.
+pub(super) fn patience(now: Millis, deadline: Millis) -> Millis {
+    now + Millis(deadline.since(now).get() / PATIENCE_DIVISOR)
+}
+
 impl<'a> Round<'a> {
-    fn new(shared: &'a Arc<Shared>, call: &'a Arc<Call>, ticket: &'a Ticket) -> Self {
-        let p99 = shared.board.read(|dispatcher| {
-            let load = dispatcher.load(&call.head.service);
-            load.p99
-        });
+    fn new(shared: &'a Arc<Shared>, call: &'a Arc<Call>, ticket: &'a Ticket, first: bool) -> Self {
+        let p99 = p99(shared, &call.head.service);
         Self {
             shared,
             call,
@@ -168,8 +185,9 @@
             attempts: FuturesUnordered::new(),
             running: Vec::new(),
             suspects: mpsc::unbounded_channel(),
-            silent_after: Millis(p99.get() * SILENCE_FACTOR).max(MIN_SILENCE),
+            silent_after: silent_after(p99),
             hedge_after: (p99 > Millis::ZERO).then(|| p99.max(MIN_HEDGE_DELAY)),
+            first,
         }
     }
 
@@ -184,7 +202,12 @@
             tokio::select! {
                 () = hedge_due, if hedge_at.is_some() => {
                     hedge_at = None;
-                    self.hedge();
+                    if self.hedge() {
+                        give_up = deadline;
+                    } else if self.all_suspect() {
+                        // The retry budget may have grown by then.
+                        hedge_at = Some(clock.now() + self.silent_after);
+                    }
                 }
                 Some((pick, result)) = self.attempts.next() => {
                     self.running.retain(|held| held.vm != pick.vm);
@@ -200,9 +223,9 @@
                     for held in self.running.iter_mut().filter(|held| held.vm == vm) {
                         held.suspect = true;
                     }
-                    if !self.hedge() {
-                        let left = deadline.since(clock.now());
-                        give_up = give_up.min(clock.now() + Millis(left.get() / PATIENCE_DIVISOR));
+                    if !self.hedge() && self.all_suspect() {
+                        give_up = give_up.min(patience(clock.now(), deadline));
+                        hedge_at = Some(clock.now() + self.silent_after);
                     }
                 }
                 () = clock.sleep_until(give_up) => {
@@ -225,11 +248,16 @@
                 .pools
                 .endpoint(pick.address.0, shared.one_slot(&call.head.service)),
             clock: shared.clock,
-            careful: !call.head.idempotent,
+            trust: if self.first {
+                call.trust()
+            } else {
+                Trust::Probed
+            },
             deadline: call.deadline,
             dead,
             silent_after: Some(self.silent_after).filter(|_| call.is_repeatable()),
         };
+        self.first = false;
         let tx = self.suspects.0.clone();
         self.attempts.push(Box::pin(async move {
             let vm = pick.vm.clone();
@@ -243,6 +271,10 @@
         }));
     }
 
+    fn all_suspect(&self) -> bool {
+        self.running.iter().all(|held| held.suspect)
+    }
+
     /// Starts a second attempt if the dispatcher grants one.
     fn hedge(&mut self) -> bool {
         if self.running.len() > 1 || !self.call.is_repeatable() {
