Exchange region summaries; test handover and cut-off majorities

Regions tell each other their bundle version and load through one member each, and a region that hears of no other one reports that it is cut off.

--- a/src/bench/region_sim/faults.rs
+++ b/src/bench/region_sim/faults.rs
@@ -101,6 +101,14 @@
         self.start(next);
     }
 
+    /// Starts a process on a new VM; returns its host.
+    pub fn grow(&mut self) -> usize {
+        let host = self.add_host();
+        self.list_vms(self.now);
+        self.start(host);
+        host
+    }
+
     /// Stops a process for a while; its clock goes on.
     pub fn pause(&mut self, host: usize, span: Millis) {
         let Some(at) = self.hosts[host].process else {
--- a/src/membership/machine/owners.rs
+++ b/src/membership/machine/owners.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::Membership;
-use crate::membership::hash::{Domain, item_key};
+use crate::membership::hash::Domain;
 use crate::membership::lease::Fence;
 use crate::membership::slots::{Bound, SlotChange, SlotSums};
 use crate::membership::{MemberTable, MemberView};
@@ -175,10 +175,7 @@
         let sums = SlotSums::new(&self.views, &self.me.id, &bounds);
         self.vms
             .endpoints()
-            .map(|vm| {
-                let usable = sums.usable(item_key(Domain::Slot, vm.as_str()));
-                (vm.clone(), usable)
-            })
+            .map(|vm| (vm.clone(), sums.usable_at(vm)))
             .collect()
     }
 
--- a/src/membership/timing.rs
+++ b/src/membership/timing.rs
@@ -39,6 +39,10 @@
     pub gone: Millis,
     /// Longest deadline of a request, plus what ending it takes.
     pub request_deadline: Millis,
+    /// Interval between messages to another region.
+    pub region_interval: Millis,
+    /// Time without a message from any other region after which this one is cut off.
+    pub region_silence: Millis,
 }
 
 impl Default for Timing {
@@ -52,6 +56,8 @@
             silence: Millis(4000),
             gone: Millis(30_000),
             request_deadline: Millis(30_000),
+            region_interval: Millis(5000),
+            region_silence: Millis(30_000),
         }
     }
 }
--- a/src/peer/loops.rs
+++ b/src/peer/loops.rs
@@ -19,6 +19,8 @@
         self.spawn(async move { node.run_ticks().await });
         let node = self.clone();
         self.spawn(async move { node.run_vm_reads().await });
+        let node = self.clone();
+        self.spawn(async move { node.run_regions().await });
     }
 
     async fn run_ticks(self: &Arc<Self>) {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -7,11 +7,12 @@
 mod news;
 mod node;
 mod owner;
+mod regions;
 mod service;
 mod store_calls;
 
 pub use codec::{pack, unpack};
 pub use local::{LocalState, NoLocalState};
-pub use news::{PeerNews, ViewNews, VmNews};
+pub use news::{PeerNews, RegionNews, RegionsNews, ViewNews, VmNews};
 pub use node::{MemberNode, NodeConfig};
 pub use service::PeerService;
--- a/src/peer/news.rs
+++ b/src/peer/news.rs
@@ -43,6 +43,28 @@
     pub loads: Vec<ServiceLoad>,
 }
 
+/// What another region said last.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RegionNews {
+    /// When it said it.
+    pub heard: Millis,
+    /// Its newest bundle version.
+    pub bundle: Version,
+    /// Its members.
+    pub members: u32,
+    /// Its load by service, as far as this process was told.
+    pub loads: Vec<ServiceLoad>,
+}
+
+/// The other regions.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RegionsNews {
+    /// What each region said last.
+    pub regions: BTreeMap<RegionId, RegionNews>,
+    /// Whether there are other regions and none of them has been heard of lately.
+    pub cut_off: bool,
+}
+
 /// The published values; every receiver sees the newest one.
 #[derive(Debug, Default)]
 pub(super) struct News {
@@ -50,6 +72,7 @@
     pub view: watch::Sender<Arc<ViewNews>>,
     pub slots: watch::Sender<Arc<BTreeMap<VmId, u32>>>,
     pub peers: watch::Sender<Arc<BTreeMap<MemberId, PeerNews>>>,
+    pub regions: watch::Sender<Arc<RegionsNews>>,
 }
 
 /// Publishes a value if it differs from the last one.
--- a/src/peer/node.rs
+++ b/src/peer/node.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::news::{News, publish};
-use super::{LocalState, PeerNews, ViewNews, VmNews};
+use super::{LocalState, PeerNews, RegionNews, RegionsNews, ViewNews, VmNews};
 use crate::membership::{Input, Membership, Output, Timing};
 use crate::platform::{Store, VmList};
 use crate::prelude::*;
@@ -37,6 +37,7 @@
     pub(super) local: Arc<dyn LocalState>,
     pub(super) state: Mutex<Membership>,
     pub(super) peers: Mutex<BTreeMap<MemberId, PeerNews>>,
+    pub(super) regions: Mutex<BTreeMap<RegionId, RegionNews>>,
     pub(super) news: News,
     pub(super) cancel: CancellationToken,
     pub(super) left: CancellationToken,
@@ -66,6 +67,7 @@
             local,
             state: Mutex::new(state),
             peers: Mutex::default(),
+            regions: Mutex::default(),
             news: News::default(),
             cancel,
             left: CancellationToken::new(),
@@ -104,6 +106,11 @@
         self.news.peers.subscribe()
     }
 
+    /// Watches what is known of the other regions.
+    pub fn watch_regions(&self) -> watch::Receiver<Arc<RegionsNews>> {
+        self.news.regions.subscribe()
+    }
+
     /// Returns the slots of an endpoint that this process may use at this moment.
     pub fn usable_slots(&self, vm: &VmId) -> u32 {
         self.state.lock().usable_slots(vm, self.now())
@@ -158,6 +165,7 @@
         beat.bundle = self.local.bundle_version();
         beat.loads = self.local.loads();
         beat.digests = self.local.digests();
+        self.add_region_digest(beat);
     }
 
     /// Takes over what a peer says about itself, and fetches its bundle if that is newer.
@@ -168,6 +176,7 @@
             loads: beat.loads.clone(),
         };
         self.peers.lock().insert(beat.member.clone(), news);
+        self.take_region_digest(beat);
         self.local.take_digests(&beat.member, &beat.digests);
         if beat.bundle > self.local.bundle_version() {
             let address = self.state.lock().address_of(&beat.member);
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -9,7 +9,7 @@
 use super::codec::{pack, unpack};
 use crate::membership::Input;
 use crate::prelude::*;
-use crate::schema::peer::{Heartbeat, MemberRecord};
+use crate::schema::peer::{Heartbeat, MemberRecord, RegionSummary};
 use crate::web::{WebReq, WebRes, WebService, read_body, text};
 
 /// Largest message of a peer; a member record of 110 members takes about 12 KB.
@@ -39,6 +39,11 @@
                 }
                 bytes(&node.record().filter(|own| own.epoch > theirs))?
             }
+            "/peer/region" => {
+                let summary: RegionSummary = unpack(body)?;
+                node.note_region(&summary, node.now());
+                bytes(&node.summary())?
+            }
             "/peer/bundle" => match node.local.export_bundle() {
                 Some(bundle) => WebRes::new(ResponseBody::bytes(bundle)),
                 None => text(StatusCode::NOT_FOUND, "no bundle\n"),
--- a/tests/members_faults.rs
+++ b/tests/members_faults.rs
@@ -231,3 +231,52 @@
         assert_eq!(sim.violations(), [""; 0]);
     }
 }
+
+/// Guards against a minority that can reach the store and removes members that a majority of
+/// their region keeps active without it.
+#[test]
+fn minority_with_the_store_removes_no_active_member() {
+    for members in 3..8 {
+        let mut sim = settled(SimConfig {
+            members,
+            ..SimConfig::default()
+        });
+        let majority: Vec<usize> = (0..=members / 2).collect();
+
+        for host in &majority {
+            sim.set_store_down_for(*host);
+        }
+        sim.cut_off(&majority);
+        sim.run_for(Millis(60_000));
+
+        assert_eq!(sim.violations(), [""; 0], "{members} members");
+        assert!(majority.iter().all(|host| sim.is_active(*host)));
+    }
+}
+
+/// Guards against members that join later and then outvote those that are cut off with an older
+/// epoch, and against owners that do not wait for members with an older epoch.
+#[test]
+fn members_that_join_later_remove_no_active_member() {
+    for members in 3..6 {
+        let mut sim = settled(SimConfig {
+            members,
+            ..SimConfig::default()
+        });
+        let majority: Vec<usize> = (0..=members / 2).collect();
+
+        for host in &majority {
+            sim.set_store_down_for(*host);
+        }
+        sim.cut_off(&majority);
+        for _ in 0..members {
+            sim.grow();
+        }
+        sim.run_for(Millis(60_000));
+
+        assert_eq!(sim.violations(), [""; 0], "{members} members");
+        assert!(majority.iter().all(|host| sim.is_active(*host)));
+        sim.end_faults();
+        assert!(sim.run_until(TAKEOVER, RegionSim::is_all_owned).is_some());
+    }
+}
--- /dev/null
+++ b/tests/members_relay.rs
@@ -0,0 +1,113 @@
+//! What one membership machine tells another one.
+
+use sapphirecroft::membership::{Input, Membership, Output, Timing};
+use sapphirecroft::prelude::*;
+use sapphirecroft::schema::peer::{Member, MemberRecord};
+use sapphirecroft::schema::vm::{VmRecord, VmRole, VmState};
+
+const NOW: Millis = Millis(50_000);
+
+fn id<T: std::str::FromStr<Err = ModelError>>(text: &str) -> T {
+    text.parse().expect("identifier is valid")
+}
+
+fn member(name: &str, zone: &str) -> Member {
+    Member {
+        id: id(name),
+        vm: id(name),
+        zone: id(zone),
+        address: format!("{name}:7101"),
+        listed: true,
+    }
+}
+
+fn record() -> MemberRecord {
+    MemberRecord {
+        epoch: Epoch(1),
+        members: vec![
+            member("a", "zone-1"),
+            member("b", "zone-1"),
+            member("c", "zone-2"),
+        ],
+        changes: Vec::new(),
+        writer: id("a:1"),
+    }
+}
+
+fn machine(name: &str) -> Membership {
+    let mut machine = Membership::new(member(name, "zone-1"), id("region"), Timing::default());
+    machine.step(Input::ViewReceived(record()), NOW);
+    machine.step(Input::Tick, NOW);
+    machine
+}
+
+fn worker(name: &str, state: VmState) -> VmRecord {
+    VmRecord {
+        vm: id(name),
+        role: VmRole::Worker,
+        state,
+        zone: id("zone-1"),
+        region: id("region"),
+        rack: id("rack-1"),
+        address: "10.0.0.1:80".to_string(),
+        agent: String::new(),
+        service: Some(id("booking")),
+        capacity: Resources::default(),
+    }
+}
+
+/// Guards against a leaving endpoint that other members learn of only from their own VM list.
+#[test]
+fn leaving_endpoint_is_relayed_with_the_next_tick() {
+    let (mut a, mut b) = (machine("a"), machine("b"));
+    let stale = vec![worker("worker-1", VmState::Live)];
+    b.step(Input::VmsRead(stale.clone()), NOW);
+    let later = NOW + Millis(100);
+
+    a.step(
+        Input::VmsRead(vec![worker("worker-1", VmState::Leaving)]),
+        later,
+    );
+    let sent = a.step(Input::Tick, later);
+    for output in sent {
+        if let Output::SendHeartbeat(address, beat) = output
+            && address == "b:7101"
+        {
+            b.receive(&beat, later);
+        }
+    }
+    b.step(Input::VmsRead(stale), later + Millis(1000));
+
+    assert!(b.vms().leaving().contains(&id("worker-1")));
+}
+
+/// Guards against a backup of keys in the same availability zone as their home.
+#[test]
+fn key_holders_are_in_different_zones() {
+    let a = machine("a");
+
+    for key in 0..100 {
+        let holders = a.key_holders(&format!("key-{key}"));
+
+        assert_eq!(holders.len(), 2);
+        let in_second = |id: &MemberId| id.as_str() == "c";
+        assert_ne!(
+            in_second(&holders[0]),
+            in_second(&holders[1]),
+            "{holders:?}"
+        );
+    }
+}
+
+/// Guards against a member that owns something before it has a lease.
+#[test]
+fn process_that_knows_the_record_only_from_peers_owns_nothing() {
+    let outsider = Membership::new(member("d", "zone-1"), id("region"), Timing::default());
+    for mut machine in [machine("a"), outsider] {
+        machine.step(Input::ViewReceived(record()), NOW);
+        machine.step(Input::LeaseFailed, NOW);
+
+        assert_eq!(machine.epoch(), Epoch(1));
+        assert!(!machine.is_active(NOW));
+    }
+}
