Measure the control plane; test the halves and the withheld acknowledgement

Deliberate faults showed that no test caught a quorum of half the members or reporters that go on acknowledging; both now have a test.

--- a/src/bench/region_sim/events.rs
+++ b/src/bench/region_sim/events.rs
@@ -100,6 +100,21 @@
     pub epochs: u64,
 }
 
+impl Counters {
+    /// Returns what was counted after `earlier`.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            store_reads: self.store_reads - earlier.store_reads,
+            store_writes: self.store_writes - earlier.store_writes,
+            exchanges: self.exchanges - earlier.exchanges,
+            heartbeat_bytes: self.heartbeat_bytes - earlier.heartbeat_bytes,
+            views: self.views - earlier.views,
+            view_bytes: self.view_bytes - earlier.view_bytes,
+            epochs: self.epochs - earlier.epochs,
+        }
+    }
+}
+
 impl RegionSim {
     pub(super) fn handle(&mut self, event: Event) {
         if let Some(at) = event.process() {
--- a/src/bench/region_sim/mod.rs
+++ b/src/bench/region_sim/mod.rs
@@ -48,6 +48,8 @@
     pub requests: bool,
     /// Whether invariants are checked.
     pub checked: bool,
+    /// Whether heartbeats carry the load of one service and a bundle version.
+    pub loads: bool,
     /// Interval between reads of the VM list.
     pub vms_poll: Millis,
     /// Spans of the rules.
@@ -69,6 +71,7 @@
             skewed: true,
             requests: true,
             checked: true,
+            loads: false,
             vms_poll: Millis(1000),
             timing,
         }
--- a/src/bench/region_sim/network.rs
+++ b/src/bench/region_sim/network.rs
@@ -2,18 +2,31 @@
 
 use rand::Rng;
 
-use super::RegionSim;
 use super::events::Event;
+use super::{RegionSim, name};
 use crate::membership::Input;
 use crate::peer::pack;
 use crate::prelude::*;
-use crate::schema::peer::{Heartbeat, MemberRecord};
+use crate::schema::peer::{Heartbeat, MemberRecord, ServiceLoad};
 
 /// Shortest and longest one-way delay between processes.
 const DELAY: std::ops::RangeInclusive<u64> = 1..=15;
 
 impl RegionSim {
-    pub(super) fn send_beat(&mut self, from: usize, address: String, beat: Heartbeat) {
+    /// Adds what other modules put into a heartbeat.
+    fn fill(&self, beat: &mut Heartbeat) {
+        if self.config.loads {
+            beat.bundle = Version(4000);
+            beat.loads = vec![ServiceLoad {
+                service: name("ballast-booking"),
+                free: 120,
+                delay: Millis(14),
+            }];
+        }
+    }
+
+    pub(super) fn send_beat(&mut self, from: usize, address: String, mut beat: Heartbeat) {
+        self.fill(&mut beat);
         let sent = self.processes[from].clock(self.now);
         let event = Event::Beat {
             from,
@@ -71,7 +84,8 @@
         }
         let process = &mut self.processes[to];
         let clock = process.clock(self.now);
-        let answer = process.machine.receive(&beat, clock);
+        let mut answer = process.machine.receive(&beat, clock);
+        self.fill(&mut answer);
         self.counters.exchanges += 1;
         self.counters.heartbeat_bytes += size(&beat) + size(&answer);
         self.send(Event::Give(from, Box::new(Input::Answered(sent, answer))));
--- a/src/membership/machine/removal.rs
+++ b/src/membership/machine/removal.rs
@@ -40,14 +40,17 @@
 
     /// Tells whether the process of a member cannot be running any more.
     fn is_terminated(&self, id: &MemberId, now: Millis) -> bool {
-        let Some(table) = &self.table else {
-            return false;
-        };
-        let Some(member) = table.member(id) else {
-            return false;
+        if self.replaced.contains(id) {
+            return true;
+        }
+        // Most of the time no VM of a member is absent.
+        let member = match self.vms.has_absent() {
+            true => self.table.as_ref().and_then(|table| table.member(id)),
+            false => None,
         };
-        let absent = self.vms.is_absent(&member.vm, self.timing.gone, now);
-        (member.listed && absent) || table.is_replaced(id)
+        member.is_some_and(|member| {
+            member.listed && self.vms.is_absent(&member.vm, self.timing.gone, now)
+        })
     }
 
     /// Reports silent members whose lease has lapsed.
--- a/src/membership/machine/store.rs
+++ b/src/membership/machine/store.rs
@@ -256,6 +256,7 @@
         let was_member = self.is_member();
         let epoch = table.epoch();
         self.views = table.views();
+        self.replaced = table.replaced();
         self.table = Some(table);
         let floor = self.views.first().map_or(epoch, |view| view.epoch());
         self.adopted.insert(epoch, now);
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -1,6 +1,6 @@
 //! The member record and the edits that a compare-and-swap may make to it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::MemberView;
 use crate::prelude::*;
@@ -48,19 +48,17 @@
         self.record.members.iter().find(|member| member.id == *id)
     }
 
-    /// Tells whether a later member has bound the VM and peer address of this one.
+    /// Returns the members whose VM and peer address a later member has bound.
     ///
     /// Two processes cannot listen on one address, so the earlier one has ended.
-    pub fn is_replaced(&self, id: &MemberId) -> bool {
-        let mut later = self
-            .record
+    pub fn replaced(&self) -> BTreeSet<MemberId> {
+        let mut holders: BTreeMap<(&VmId, &str), &MemberId> = BTreeMap::new();
+        self.record
             .members
             .iter()
-            .skip_while(|member| member.id != *id);
-        let Some(own) = later.next() else {
-            return false;
-        };
-        later.any(|member| member.vm == own.vm && member.address == own.address)
+            .filter_map(|member| holders.insert((&member.vm, &member.address), &member.id))
+            .cloned()
+            .collect()
     }
 
     /// Returns the views of all epochs that a member may still be in, oldest first.
--- a/src/membership/vm_watch.rs
+++ b/src/membership/vm_watch.rs
@@ -74,6 +74,11 @@
             .collect()
     }
 
+    /// Tells whether the list does not show the VM of some member.
+    pub fn has_absent(&self) -> bool {
+        !self.absent.is_empty()
+    }
+
     /// Tells whether the list has not shown the VM of a member for a time.
     pub fn is_absent(&self, vm: &VmId, after: Millis, now: Millis) -> bool {
         self.absent
--- a/tests/members_faults.rs
+++ b/tests/members_faults.rs
@@ -280,3 +280,29 @@
         assert!(sim.run_until(TAKEOVER, RegionSim::is_all_owned).is_some());
     }
 }
+
+/// Guards against a half of the members that stays active while the other half may remove it.
+#[test]
+fn cut_off_half_is_inactive_when_it_is_removed() {
+    for members in [2, 4, 6] {
+        let mut sim = settled(SimConfig {
+            members,
+            ..SimConfig::default()
+        });
+        let epoch = sim.epoch();
+        let half: Vec<usize> = (0..members / 2).collect();
+
+        for host in &half {
+            sim.set_store_down_for(*host);
+        }
+        sim.cut_off(&half);
+        sim.run_for(Millis(30_000));
+
+        assert_eq!(sim.violations(), [""; 0], "{members} members");
+        assert!(
+            sim.epoch() > epoch,
+            "the half with the store removes the other one"
+        );
+        assert!(sim.is_all_owned());
+    }
+}
--- a/tests/members_relay.rs
+++ b/tests/members_relay.rs
@@ -2,7 +2,7 @@
 
 use sapphirecroft::membership::{Input, Membership, Output, Timing};
 use sapphirecroft::prelude::*;
-use sapphirecroft::schema::peer::{Member, MemberRecord};
+use sapphirecroft::schema::peer::{Heartbeat, Member, MemberRecord};
 use sapphirecroft::schema::vm::{VmRecord, VmRole, VmState};
 
 const NOW: Millis = Millis(50_000);
@@ -111,3 +111,37 @@
         assert!(!machine.is_active(NOW));
     }
 }
+
+/// Guards against a reporter of a silent member that acknowledges it again while a removal that
+/// counts on the report may still be written.
+#[test]
+fn reported_member_is_not_acknowledged_in_the_same_epoch() {
+    let (mut a, mut b, mut c) = (machine("a"), machine("b"), machine("c"));
+    let silence = NOW + Millis(4500);
+    let of_a = beat(&mut a, "b:7101", NOW);
+    let mut of_c = beat(&mut c, "b:7101", NOW);
+    of_c.lapsed = vec![id("a")];
+
+    let before = b.receive(&of_a, NOW);
+    let report = b.receive(&of_c, silence);
+    let after = b.receive(&of_a, silence);
+    let mut next = record();
+    next.epoch = Epoch(2);
+    b.step(Input::ViewReceived(next), silence);
+    let healed = b.receive(&of_a, silence);
+
+    assert!(before.acknowledged);
+    assert_eq!(report.silent, [id("a")]);
+    assert!(!after.acknowledged);
+    assert!(healed.acknowledged);
+}
+
+fn beat(machine: &mut Membership, to: &str, now: Millis) -> Heartbeat {
+    let next = now + Millis(2000);
+    let outputs = machine.step(Input::Tick, next);
+    let beat = outputs.into_iter().find_map(|output| match output {
+        Output::SendHeartbeat(address, beat) if address == to => Some(beat),
+        _ => None,
+    });
+    beat.expect("a heartbeat is due")
+}
--- a/tests/members_slots.rs
+++ b/tests/members_slots.rs
@@ -79,7 +79,7 @@
     let before = view(1, 0..37);
     let after = view(2, (0..37).filter(|at| *at != 20));
     let dead = before.position(&member(20)).expect("listed");
-    let mut totals = vec![0; 37];
+    let mut totals = [0; 37];
     let mut moved = 0;
 
     for at in 0..1000 {
