--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,9 @@
 //! `docs/design.md` describes the modules and the reasons behind them.
 
 pub mod bench;
+pub mod admission;
 pub mod bundle;
+pub mod dedup;
 pub mod error;
 pub mod ini;
 pub mod membership;
@@ -11,6 +13,9 @@
 pub mod peer;
 pub mod platform;
 pub mod prelude;
+pub mod proxy;
+pub mod retry;
+pub mod routing;
 pub mod schema;
 pub mod settings;
 pub mod standin;
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -6,6 +6,7 @@
 pub mod bundle;
 #[rustfmt::skip]
 pub mod peer;
+pub mod dedup;
 #[rustfmt::skip]
 pub mod settings;
 #[rustfmt::skip]
