--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Benchmarks in virtual time, and the simulations that they and the tests run.
 
+pub mod control;
 pub mod region_sim;
 mod requests;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod audit;
 pub mod batch;
 pub mod bench;
+pub mod admission;
 pub mod bundle;
 pub mod cli;
 pub mod daemon;
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -14,6 +14,7 @@
 pub mod drain;
 #[rustfmt::skip]
 pub mod peer;
+pub mod dedup;
 #[rustfmt::skip]
 pub mod settings;
 #[rustfmt::skip]
