--- a/src/audit/chain.rs
+++ b/src/audit/chain.rs
@@ -32,7 +32,7 @@
 
     /// Starts the segment after this one.
     pub(super) fn following(&self, writer: WriterToken) -> Self {
-        let number = self.number + 1;
+        let number = self.number.saturating_add(1);
         Self {
             writer,
             number,
@@ -58,13 +58,13 @@
 
     /// Returns the position of the newest entry of the trail up to this segment.
     pub(super) fn last_seq(&self) -> u64 {
-        self.first_seq() - 1 + self.entries.len() as u64
+        (self.first_seq() - 1).saturating_add(self.entries.len() as u64)
     }
 
     /// Adds an entry.
     pub(super) fn push(&mut self, draft: &AuditDraft, at: Timestamp, writer: &WriterToken) {
         let mut entry = AuditEntry {
-            seq: self.last_seq() + 1,
+            seq: self.last_seq().saturating_add(1),
             at,
             who: draft.who.clone(),
             action: draft.action,
@@ -122,7 +122,9 @@
 
 /// Returns the first position of a segment.
 pub(super) fn first_seq(number: u64) -> u64 {
-    number.saturating_mul(SEGMENT_ENTRIES as u64) + 1
+    number
+        .saturating_mul(SEGMENT_ENTRIES as u64)
+        .saturating_add(1)
 }
 
 /// Returns the oldest segment that is kept while segment `number` grows.
--- a/src/audit/trail.rs
+++ b/src/audit/trail.rs
@@ -140,7 +140,8 @@
         }
         let mut attempts = Vec::new();
         let mut before = (open.oldest == 0).then(Digest::default);
-        for number in open.oldest..=open.number {
+        let first = open.oldest.max(oldest_kept(open.number));
+        for number in first..=open.number {
             let Some(segment) = self.segment(number, &open).await? else {
                 faults.extend(self.missing(number).await?);
                 before = None;
--- a/src/bundle/desk/decide.rs
+++ b/src/bundle/desk/decide.rs
@@ -124,13 +124,13 @@
         }
     }
 
-    /// Puts the own change in force here without waiting for the watch.
+    /// Puts a record that was read or written in force here without waiting for the watch.
     pub(super) fn apply(&self, record: &CurrentRecord) {
         let offered = encode(record)
             .map_err(BundleError::Untrusted)
             .and_then(|buf| self.keeper.offer(&buf));
         if let Err(err) = offered {
-            tracing::warn!(%err, "own change cannot be put in force here");
+            tracing::warn!(%err, "record of the store cannot be put in force here");
         }
     }
 
--- a/src/bundle/desk/views.rs
+++ b/src/bundle/desk/views.rs
@@ -53,7 +53,7 @@
     /// Returns the proposals for the next version.
     pub async fn proposals(&self) -> Result<Vec<ProposalView>, BundleError> {
         let standing = self.standing().await?;
-        let version = Version(standing.current().version.get() + 1);
+        let version = Version(standing.current().version.get().saturating_add(1));
         let held: Vec<Held<Proposal>> = self.records.list(&proposals_of(version)).await?;
         let views = held
             .into_iter()
--- a/src/bundle/ring.rs
+++ b/src/bundle/ring.rs
@@ -133,11 +133,11 @@
     /// A key's range may only be closed, and never below the version in force; otherwise a process
     /// that starts later would refuse a bundle that others run.
     pub fn check_successor(&self, next: &Self, version: Version) -> Result<(), BundleError> {
-        if next.serial != self.serial + 1 {
+        if next.serial != self.serial.saturating_add(1) {
             return Err(refused(format!(
                 "key ring has serial {}, expected {}",
                 next.serial,
-                self.serial + 1
+                self.serial.saturating_add(1)
             )));
         }
         let before: Vec<_> = self.operators.iter().flat_map(keys_of).collect();
@@ -179,7 +179,7 @@
     ///
     /// An operator who may no longer sign off loses the keys after `version`.
     pub fn put_operator(&mut self, next: OperatorRecord, version: Version) {
-        self.serial += 1;
+        self.serial = self.serial.saturating_add(1);
         let Some(known) = self.operators.iter_mut().find(|op| op.name == next.name) else {
             self.operators.push(next);
             return;
@@ -200,13 +200,13 @@
         token: Option<Digest>,
         version: Version,
     ) -> Result<(), BundleError> {
-        self.serial += 1;
+        self.serial = self.serial.saturating_add(1);
         let operator = self.operator_mut(name)?;
         end_keys(operator, None, version);
         operator.keys.push(OperatorKey {
             id: key_id(&public),
             public,
-            from: Version(version.get() + 1),
+            from: Version(version.get().saturating_add(1)),
             until: None,
         });
         if token.is_some() {
@@ -222,7 +222,7 @@
         key: Option<&KeyId>,
         version: Version,
     ) -> Result<(), BundleError> {
-        self.serial += 1;
+        self.serial = self.serial.saturating_add(1);
         let operator = self.operator_mut(name)?;
         if let Some(id) = key
             && !operator.keys.iter().any(|key| key.id == *id)
--- a/tests/audit.rs
+++ b/tests/audit.rs
@@ -220,6 +220,26 @@
     });
 }
 
+/// Guards against a tampered head that stops the process or keeps it busy for ever.
+#[test]
+fn absurd_numbers_are_only_faults() {
+    run(async {
+        for number in [u64::MAX, u64::MAX / 2, 1 << 40] {
+            let kv = KvServer::new();
+            let p = process(&kv, "entry-0");
+            fill(&p, 3).await;
+            tamper(&kv, AUDIT_OPEN, |s| s.number = number).await;
+
+            let report = p.audit.verify().await.expect("readable");
+            let page = p.audit.list(None, 10).await.expect("readable");
+            let _ = p.audit.append(&draft("one more")).await;
+
+            assert!(!report.faults.is_empty());
+            assert!(page.entries.len() <= 10);
+        }
+    });
+}
+
 /// Guards against a retention that reads as a gap, and against a gap that reads as retention.
 #[test]
 fn retention_drops_whole_segments() {
--- a/tests/bundle_life.rs
+++ b/tests/bundle_life.rs
@@ -245,6 +245,22 @@
     });
 }
 
+/// Guards against writers that look alike because their ids are too long for a token.
+#[test]
+fn long_member_ids_give_distinct_tokens() {
+    let tokens = |id: &str| sapphirecroft::records::WriterTokens::new(id.parse().expect("valid"));
+    let (one, two) = (
+        tokens(&"a".repeat(128)),
+        tokens(&format!("{}b", "a".repeat(127))),
+    );
+
+    let all = [one.next(), one.next(), two.next(), two.next()];
+
+    assert!(all.iter().all(|token| !token.as_str().is_empty()));
+    let distinct: std::collections::BTreeSet<_> = all.iter().collect();
+    assert_eq!(distinct.len(), 4);
+}
+
 /// Guards against a change that is half applied when the store fails on the way.
 #[test]
 fn outage_changes_nothing() {
