--- a/src/peer/node.rs
+++ b/src/peer/node.rs
@@ -168,8 +168,8 @@
             loads: beat.loads.clone(),
         };
         self.peers.lock().insert(beat.member.clone(), news);
-        self.local.take_digests(&beat.member, &beat.digests);
-        if beat.bundle > self.local.bundle_version() {
+        let wants_bundle = self.local.take_digests(&beat.member, &beat.digests);
+        if wants_bundle || beat.bundle > self.local.bundle_version() {
             let address = self.state.lock().address_of(&beat.member);
             if let Some(address) = address {
                 self.fetch_bundle(address);
@@ -216,7 +216,9 @@
             Output::Adopted(epoch) => tracing::info!(%epoch, "adopted member epoch"),
             Output::Removed(epoch) => tracing::warn!(%epoch, "removed from the member record"),
             Output::Left => self.left.cancel(),
-            Output::CreateLease => self.spawn(async move { node.step(node.create_lease().await) }),
+            Output::CreateLease(me) => {
+                self.spawn(async move { node.step(node.create_lease(&me).await) })
+            }
             Output::RenewLease => self.spawn(async move { node.step(node.renew_lease().await) }),
             Output::ReadRecord { leave } => {
                 self.spawn(async move { node.step(node.read_record(leave).await) });
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -63,6 +63,7 @@
     checkpoints: Checkpoints,
     events: Vec<WorkerEvent>,
     overcommits: u64,
+    booted: Millis,
     /// Faults to show.
     pub faults: WorkerFaults,
 }
@@ -80,6 +81,7 @@
             checkpoints,
             events: Vec::new(),
             overcommits: 0,
+            booted: Millis::ZERO,
             faults: WorkerFaults::default(),
         }
     }
@@ -139,6 +141,17 @@
         }
     }
 
+    /// Loses everything in memory, as when the VM restarts; the clock runs on.
+    ///
+    /// Fenced attempts are forgotten too, so starts that were prepared before are refused.
+    pub fn restart(&mut self, now: Millis) {
+        self.advance(now);
+        self.epoch = Epoch(0);
+        self.tasks.clear();
+        self.fenced.clear();
+        self.booted = self.clock;
+    }
+
     /// Moves time on: progress, completions, failures, stops and lapsed leases.
     pub fn advance(&mut self, now: Millis) {
         self.clock = self.clock.max(now);
@@ -208,7 +221,7 @@
             }
         }
         let lease_until = start.as_of + start.lease;
-        if lease_until <= self.clock {
+        if lease_until <= self.clock || start.as_of < self.booted {
             return Err(AgentRefusal::LeaseEnded);
         }
         let wanted = self.reserved().checked_add(&start.resources);
@@ -234,7 +247,7 @@
             start,
         };
         let (id, from) = (task.start.task.clone(), task.start.resume_from.clone());
-        self.record(&id, task.attempt, TaskPhase::Running, from);
+        self.record(&id, task.attempt, TaskPhase::Running, from, self.clock);
         self.tasks.insert(id, task);
         Ok(())
     }
@@ -298,10 +311,10 @@
         } else {
             return;
         };
-        self.end(id, phase);
+        self.end(id, phase, until);
     }
 
-    fn end(&mut self, id: &TaskId, phase: TaskPhase) {
+    fn end(&mut self, id: &TaskId, phase: TaskPhase, at: Millis) {
         let Some(task) = self.tasks.get_mut(id) else {
             return;
         };
@@ -321,7 +334,7 @@
             }
         }
         let checkpoint = task.checkpoint.clone();
-        self.record(id, attempt, phase, checkpoint);
+        self.record(id, attempt, phase, checkpoint, at);
     }
 
     fn record(
@@ -330,9 +343,10 @@
         attempt: Attempt,
         phase: TaskPhase,
         checkpoint: Option<CheckpointId>,
+        at: Millis,
     ) {
         self.events.push(WorkerEvent {
-            at: self.clock,
+            at,
             task: id.clone(),
             attempt,
             phase,
