--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! `docs/design.md` describes the modules and the reasons behind them.
 
 pub mod batch;
+pub mod bench;
 pub mod bundle;
 pub mod error;
 pub mod ini;
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -16,7 +16,7 @@
 const SERVICE_LOAD: f64 = 0.5;
 
 /// Weight of slowdown against wasted capacity; slowdown of a whole worker costs most.
-const HARM_WEIGHT: f64 = 4.0;
+const HARM_WEIGHT: f64 = 60.0;
 
 /// Weights of the bundle, as numbers.
 #[derive(Clone, Copy, Debug)]
@@ -132,15 +132,22 @@
         let deviations = weighting.deviations;
         let load = reserve.resources.cpu.0 as f64 / book.declared.cpu.0.max(1) as f64;
         let mut harm = 0.0;
-        for (other, other_load) in book.loads() {
+        for (other, other_load) in book.loads().iter().copied() {
             let caused = estimates.cost(other, kind, load, deviations, now) * other_load;
             let suffered = estimates.cost(kind, other, other_load, deviations, now) * load;
             harm += weighting.batch * (caused + suffered);
         }
         if let Some(service) = book.service {
-            let caused = estimates.cost(service, kind, load, deviations, now) * SERVICE_LOAD;
+            let caused = estimates.cost(service, kind, load, deviations, now);
+            let present: f64 = book
+                .loads()
+                .iter()
+                .map(|(other, load)| estimates.cost(service, *other, *load, deviations, now))
+                .sum();
+            // The tail is made by the slowest workers, so more harm counts more where much is done.
+            let tail = (present + caused).powi(2) - present.powi(2);
             let suffered = estimates.cost(kind, service, SERVICE_LOAD, deviations, now) * load;
-            harm += weighting.tail * caused + weighting.batch * suffered;
+            harm += weighting.tail * tail + weighting.batch * suffered;
         }
         harm
     }
--- a/src/placement/interference.rs
+++ b/src/placement/interference.rs
@@ -16,25 +16,35 @@
 /// Largest slowdown per unit of load.
 const MAX_SLOWDOWN: f64 = 4.0;
 
+/// Kinds that are told apart; later ones share the last number, which bounds memory and time.
+const MAX_KINDS: usize = 48;
+
+/// Span over which evidence is not aged, to save work when many reports arrive together.
+const AGE_STEP: Millis = Millis(1000);
+
 /// A kind of task, numbered in order of appearance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Kind(pub u32);
+pub struct Kind(usize);
 
 /// Load by kind; one unit is all processors of the worker.
 pub type Loads = Vec<(Kind, f64)>;
 
-#[derive(Clone, Copy, Debug)]
-struct Estimate {
-    mean: f64,
-    variance: f64,
+/// Estimates of what slows one kind: means and their covariance.
+#[derive(Clone, Debug)]
+struct Row {
+    means: Vec<f64>,
+    covariance: Vec<Vec<f64>>,
     at: Millis,
 }
 
-/// Estimates per pair of kinds: a regression whose evidence loses half its weight per half-life.
+/// Estimates per pair of kinds: a regression whose evidence fades with the half-life.
+///
+/// The covariance is kept whole, because kinds that often run together cannot be told apart by
+/// variances alone.
 #[derive(Clone, Debug)]
 pub struct Interference {
     names: BTreeMap<String, Kind>,
-    pairs: Vec<Vec<Option<Estimate>>>,
+    rows: Vec<Row>,
     half_life: Millis,
 }
 
@@ -43,7 +53,7 @@
     pub fn new(half_life: Millis) -> Self {
         Self {
             names: BTreeMap::new(),
-            pairs: Vec::new(),
+            rows: Vec::new(),
             half_life,
         }
     }
@@ -58,16 +68,31 @@
         if let Some(kind) = self.names.get(name) {
             return *kind;
         }
-        let kind = Kind(u32::try_from(self.names.len()).unwrap_or(u32::MAX));
+        if self.rows.len() == MAX_KINDS {
+            return Kind(MAX_KINDS - 1);
+        }
+        let kind = Kind(self.rows.len());
         self.names.insert(name.to_string(), kind);
-        self.pairs.push(Vec::new());
+        self.rows.push(Row::new());
         kind
     }
 
     /// Returns mean and deviation of the slowdown of `victim` per unit of load of `source`.
     pub fn estimate(&self, victim: Kind, source: Kind, now: Millis) -> (f64, f64) {
-        let aged = self.aged(victim, source, now);
-        (aged.mean, aged.variance.sqrt())
+        let Some(row) = self.rows.get(victim.0) else {
+            return (PRIOR_MEAN, PRIOR_VARIANCE.sqrt());
+        };
+        let kept = self.kept(row, now);
+        let mean = row.means.get(source.0).copied().unwrap_or(PRIOR_MEAN);
+        let variance = row
+            .covariance
+            .get(source.0)
+            .and_then(|line| line.get(source.0))
+            .copied()
+            .unwrap_or(PRIOR_VARIANCE);
+        let mean = PRIOR_MEAN + (mean - PRIOR_MEAN) * kept;
+        let variance = variance * kept * kept + PRIOR_VARIANCE * (1.0 - kept * kept);
+        (mean.clamp(0.0, MAX_SLOWDOWN), variance.max(0.0).sqrt())
     }
 
     /// Returns the slowdown that `source` adds to `victim`, with `deviations` on top.
@@ -78,76 +103,100 @@
 
     /// Learns from one measurement: `slowdown` is the added part, zero at full speed.
     pub fn learn(&mut self, victim: Kind, sources: &[(Kind, f64)], slowdown: f64, now: Millis) {
-        let aged: Vec<(Kind, f64, Estimate)> = sources
+        let half_life = self.half_life;
+        let Some(row) = self.rows.get_mut(victim.0) else {
+            return;
+        };
+        let present: Vec<(usize, f64)> = sources
             .iter()
             .filter(|(_, load)| *load > 0.0)
-            .map(|(source, load)| (*source, *load, self.aged(victim, *source, now)))
+            .map(|(source, load)| (source.0, *load))
             .collect();
-        let expected: f64 = aged.iter().map(|(_, load, e)| load * e.mean).sum();
-        let spread: f64 = aged
-            .iter()
-            .map(|(_, load, e)| load * load * e.variance)
-            .sum();
-        let error = slowdown - expected;
-        for (source, load, estimate) in aged {
-            let gain = estimate.variance * load / (spread + NOISE_VARIANCE);
-            let next = Estimate {
-                mean: (estimate.mean + gain * error).clamp(0.0, MAX_SLOWDOWN),
-                variance: estimate.variance * (1.0 - gain * load),
-                at: now,
-            };
-            self.put(victim, source, next);
+        if present.is_empty() {
+            return;
         }
+        row.age(half_life, now);
+        row.grow(present.iter().map(|(source, _)| source + 1).max());
+        row.update(&present, slowdown);
     }
 
-    /// Returns an estimate whose evidence has aged until `now`.
-    fn aged(&self, victim: Kind, source: Kind, now: Millis) -> Estimate {
-        let held = index(victim)
-            .and_then(|row| self.pairs.get(row))
-            .and_then(|row| row.get(index(source)?))
-            .copied()
-            .flatten();
-        let Some(held) = held else {
-            return Estimate {
-                mean: PRIOR_MEAN,
-                variance: PRIOR_VARIANCE,
-                at: now,
-            };
-        };
-        let age = now.since(held.at).0 as f64 / self.half_life.0.max(1) as f64;
-        let kept = (-age).exp2();
-        // Precision is evidence: it decays towards that of the prior, and the mean with it.
-        let prior = 1.0 / PRIOR_VARIANCE;
-        let evidence = (1.0 / held.variance - prior).max(0.0) * kept;
-        let weight = evidence / (evidence + prior);
-        let full = (1.0 / held.variance - prior).max(0.0) * held.variance;
-        let data_mean = if full > 0.0 {
-            (held.mean - PRIOR_MEAN * (1.0 - full)) / full
-        } else {
-            PRIOR_MEAN
-        };
-        Estimate {
-            mean: (data_mean * weight + PRIOR_MEAN * (1.0 - weight)).clamp(0.0, MAX_SLOWDOWN),
-            variance: 1.0 / (evidence + prior),
-            at: now,
+    fn kept(&self, row: &Row, now: Millis) -> f64 {
+        fading(now.since(row.at), self.half_life)
+    }
+}
+
+impl Row {
+    fn new() -> Self {
+        Self {
+            means: Vec::new(),
+            covariance: Vec::new(),
+            at: Millis::ZERO,
+        }
+    }
+
+    /// Adds kinds that were not seen yet, with the prior.
+    fn grow(&mut self, kinds: Option<usize>) {
+        let kinds = kinds.unwrap_or_default().max(self.means.len());
+        self.means.resize(kinds, PRIOR_MEAN);
+        for line in &mut self.covariance {
+            line.resize(kinds, 0.0);
+        }
+        for kind in self.covariance.len()..kinds {
+            let mut line = vec![0.0; kinds];
+            if let Some(own) = line.get_mut(kind) {
+                *own = PRIOR_VARIANCE;
+            }
+            self.covariance.push(line);
         }
     }
 
-    fn put(&mut self, victim: Kind, source: Kind, next: Estimate) {
-        let (Some(row), Some(column)) = (index(victim), index(source)) else {
+    /// Moves means and covariance towards the prior.
+    fn age(&mut self, half_life: Millis, now: Millis) {
+        let span = now.since(self.at);
+        if span < AGE_STEP {
             return;
-        };
-        if let Some(row) = self.pairs.get_mut(row) {
-            if row.len() <= column {
-                row.resize(column + 1, None);
+        }
+        self.at = now;
+        let kept = fading(span, half_life);
+        for mean in &mut self.means {
+            *mean = PRIOR_MEAN + (*mean - PRIOR_MEAN) * kept;
+        }
+        for (at, line) in self.covariance.iter_mut().enumerate() {
+            for (other, value) in line.iter_mut().enumerate() {
+                let prior = if at == other { PRIOR_VARIANCE } else { 0.0 };
+                *value = *value * kept * kept + prior * (1.0 - kept * kept);
             }
-            if let Some(cell) = row.get_mut(column) {
-                *cell = Some(next);
+        }
+    }
+
+    /// One step of recursive least squares.
+    fn update(&mut self, present: &[(usize, f64)], slowdown: f64) {
+        let along: Vec<f64> = self
+            .covariance
+            .iter()
+            .map(|line| {
+                let part = |(kind, load): &(usize, f64)| line.get(*kind).map(|v| v * load);
+                present.iter().filter_map(part).sum()
+            })
+            .collect();
+        let sum = |values: &[f64]| -> f64 {
+            let part = |(kind, load): &(usize, f64)| values.get(*kind).map(|v| v * load);
+            present.iter().filter_map(part).sum()
+        };
+        let spread = sum(&along) + NOISE_VARIANCE;
+        let error = slowdown - sum(&self.means);
+        for (mean, along) in self.means.iter_mut().zip(&along) {
+            *mean = (*mean + along / spread * error).clamp(0.0, MAX_SLOWDOWN);
+        }
+        for (line, own) in self.covariance.iter_mut().zip(&along) {
+            for (value, other) in line.iter_mut().zip(&along) {
+                *value -= own * other / spread;
             }
         }
     }
 }
 
-fn index(kind: Kind) -> Option<usize> {
-    usize::try_from(kind.0).ok()
+/// Returns the weight that evidence keeps after a span.
+fn fading(span: Millis, half_life: Millis) -> f64 {
+    (-(span.0 as f64) / half_life.0.max(1) as f64).exp2()
 }
--- a/src/placement/worker_book.rs
+++ b/src/placement/worker_book.rs
@@ -67,6 +67,7 @@
     pub(super) service: Option<Kind>,
     pub(super) service_sample: Option<(Millis, f64)>,
     pub(super) corrected_at: Option<Millis>,
+    loads: Loads,
     history: VecDeque<(Millis, Loads)>,
 }
 
@@ -101,6 +102,7 @@
             service: None,
             service_sample: None,
             corrected_at: None,
+            loads: Loads::new(),
             history: VecDeque::new(),
         }
     }
@@ -125,7 +127,7 @@
         self.clock = Millis::ZERO;
         self.reported = None;
         self.entries.clear();
-        self.used = Resources::default();
+        self.recount();
         self.tombstones.clear();
         self.acks.clear();
         self.throttles.clear();
@@ -172,30 +174,27 @@
         open.then(|| self.capacity().saturating_sub(&self.used))
     }
 
-    /// Counts the entries anew after they changed.
+    /// Counts use and loads anew after entries changed.
     pub(super) fn recount(&mut self) {
-        self.used = self
-            .entries
-            .values()
-            .filter(|entry| entry.holds_capacity())
-            .fold(Resources::default(), |sum, entry| {
-                sum.checked_add(&entry.resources).unwrap_or(sum)
-            });
-    }
-
-    /// Returns the loads by kind, with one unit for all processors.
-    pub(super) fn loads(&self) -> Loads {
         let total = self.declared.cpu.0.max(1) as f64;
+        let mut used = Resources::default();
         let mut loads: BTreeMap<Kind, f64> = BTreeMap::new();
         for entry in self.entries.values().filter(|e| e.holds_capacity()) {
+            used = used.checked_add(&entry.resources).unwrap_or(used);
             *loads.entry(entry.kind).or_default() += entry.load.0 as f64 / total;
         }
-        loads.into_iter().collect()
+        self.used = used;
+        self.loads = loads.into_iter().collect();
+    }
+
+    /// Returns the loads by kind, with one unit for all processors.
+    pub(super) fn loads(&self) -> &Loads {
+        &self.loads
     }
 
     /// Remembers the present loads for measurements that arrive later.
     pub(super) fn remember_loads(&mut self, now: Millis) {
-        let loads = self.loads();
+        let loads = self.loads.clone();
         if self.history.back().is_some_and(|(_, last)| *last == loads) {
             return;
         }
--- a/tests/batch_support/mod.rs
+++ b/tests/batch_support/mod.rs
@@ -5,6 +5,7 @@
 pub mod network;
 pub mod oracle;
 pub mod sim;
+pub mod site;
 pub mod view;
 
 use std::collections::BTreeMap;
