--- a/src/bench/colocation.rs
+++ b/src/bench/colocation.rs
@@ -51,7 +51,7 @@
 
 /// How workers are chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
-pub enum Policy {
+pub enum PlacementPolicy {
     /// The first worker with room.
     FirstFit,
     /// The worker with the most free processors.
@@ -64,7 +64,7 @@
 #[derive(Clone, Debug, serde::Serialize)]
 pub struct ColocationResult {
     /// The policy.
-    pub policy: Policy,
+    pub policy: PlacementPolicy,
     /// Declared core hours of finished tasks after the warm-up.
     pub core_hours: f64,
     /// Median service latency.
@@ -88,7 +88,7 @@
 }
 
 struct Model {
-    policy: Policy,
+    policy: PlacementPolicy,
     random: u64,
     workers: Vec<ModelWorker>,
     vms: Vec<VmRecord>,
@@ -103,7 +103,7 @@
 }
 
 /// Runs one policy; arrivals and noise depend on the seed only.
-pub fn run_colocation(policy: Policy, seed: u64) -> ColocationResult {
+pub fn run_colocation(policy: PlacementPolicy, seed: u64) -> ColocationResult {
     let mut model = Model::new(policy, seed);
     let mut now = Millis::ZERO;
     while now < RUN {
@@ -122,7 +122,7 @@
 }
 
 impl Model {
-    fn new(policy: Policy, seed: u64) -> Self {
+    fn new(policy: PlacementPolicy, seed: u64) -> Self {
         let service: Option<ServiceId> = "booking".parse().ok();
         let vms: Vec<VmRecord> = (0..WORKERS).map(|n| worker(n, service.clone())).collect();
         let member = "m1".parse().unwrap_or_default();
@@ -161,8 +161,8 @@
         }
         self.arrive(now);
         match self.policy {
-            Policy::InterferenceAware => self.place_aware(now),
-            Policy::FirstFit | Policy::LeastLoaded => self.place_simply(now),
+            PlacementPolicy::InterferenceAware => self.place_aware(now),
+            PlacementPolicy::FirstFit | PlacementPolicy::LeastLoaded => self.place_simply(now),
         }
         self.sample(now);
     }
@@ -252,7 +252,7 @@
         };
         let mut fitting = (0..self.workers.len()).filter(|at| size.fits(&free(*at)));
         match self.policy {
-            Policy::FirstFit => fitting.next(),
+            PlacementPolicy::FirstFit => fitting.next(),
             _ => fitting.max_by_key(|at| free(*at).cpu),
         }
     }
--- a/src/bench/placement.rs
+++ b/src/bench/placement.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Instant;
 
-use super::colocation::{ColocationResult, Policy, run_colocation};
+use super::colocation::{ColocationResult, PlacementPolicy, run_colocation};
 use crate::batch::task_id;
 use crate::membership::SoleOwner;
 use crate::placement::{Fleet, RackOwner, next_random};
@@ -69,9 +69,9 @@
         cost_ratio: median(costs.last()) / median(costs.first()),
         costs,
         colocation: [
-            Policy::FirstFit,
-            Policy::LeastLoaded,
-            Policy::InterferenceAware,
+            PlacementPolicy::FirstFit,
+            PlacementPolicy::LeastLoaded,
+            PlacementPolicy::InterferenceAware,
         ]
         .into_iter()
         .map(|policy| run_colocation(policy, seed))
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -7,6 +7,14 @@
 #[rustfmt::skip]
 pub mod bundle;
 #[rustfmt::skip]
+pub mod config;
+#[rustfmt::skip]
+pub mod dedup;
+#[rustfmt::skip]
+pub mod drain;
+#[rustfmt::skip]
+pub mod peer;
+#[rustfmt::skip]
 pub mod settings;
 #[rustfmt::skip]
 pub mod vm;
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -62,6 +62,7 @@
     fenced: BTreeMap<TaskId, Attempt>,
     checkpoints: Checkpoints,
     events: Vec<WorkerEvent>,
+    overcommits: u64,
     booted: Millis,
     /// Faults to show.
     pub faults: WorkerFaults,
@@ -79,6 +80,7 @@
             fenced: BTreeMap::new(),
             checkpoints,
             events: Vec::new(),
+            overcommits: 0,
             booted: Millis::ZERO,
             faults: WorkerFaults::default(),
         }
@@ -89,6 +91,11 @@
         &self.events
     }
 
+    /// Returns how many starts asked for more than the worker had left.
+    pub fn overcommits(&self) -> u64 {
+        self.overcommits
+    }
+
     /// Returns the sum of what running tasks have reserved.
     pub fn reserved(&self) -> Resources {
         self.tasks
@@ -219,6 +226,7 @@
         }
         let wanted = self.reserved().checked_add(&start.resources);
         if !wanted.is_some_and(|wanted| wanted.fits(&self.capacity)) {
+            self.overcommits += 1;
             return Err(AgentRefusal::NoCapacity);
         }
         let remaining = start
@@ -239,7 +247,7 @@
             start,
         };
         let (id, from) = (task.start.task.clone(), task.start.resume_from.clone());
-        self.record(&id, task.attempt, TaskPhase::Running, from);
+        self.record(&id, task.attempt, TaskPhase::Running, from, self.clock);
         self.tasks.insert(id, task);
         Ok(())
     }
@@ -303,10 +311,10 @@
         } else {
             return;
         };
-        self.end(id, phase);
+        self.end(id, phase, until);
     }
 
-    fn end(&mut self, id: &TaskId, phase: TaskPhase) {
+    fn end(&mut self, id: &TaskId, phase: TaskPhase, at: Millis) {
         let Some(task) = self.tasks.get_mut(id) else {
             return;
         };
@@ -326,7 +334,7 @@
             }
         }
         let checkpoint = task.checkpoint.clone();
-        self.record(id, attempt, phase, checkpoint);
+        self.record(id, attempt, phase, checkpoint, at);
     }
 
     fn record(
@@ -335,9 +343,10 @@
         attempt: Attempt,
         phase: TaskPhase,
         checkpoint: Option<CheckpointId>,
+        at: Millis,
     ) {
         self.events.push(WorkerEvent {
-            at: self.clock,
+            at,
             task: id.clone(),
             attempt,
             phase,
