--- a/tests/batch_support/sim.rs
+++ b/tests/batch_support/sim.rs
@@ -640,7 +640,10 @@
                 members,
             } => {
                 let view = &self.members[member].view;
-                view.state.lock().expect("not poisoned").adopt(epoch, members);
+                view.state
+                    .lock()
+                    .expect("not poisoned")
+                    .adopt(epoch, members);
             }
             Message::Remove { member } => self.remove(member),
         }
--- a/tests/batch_support/site.rs
+++ b/tests/batch_support/site.rs
@@ -52,7 +52,12 @@
         let agents = Arc::new(Agents(
             vms.iter()
                 .map(|vm| {
-                    let server = WorkerServer::new(vm.vm.clone(), vm.capacity, checkpoints.clone(), tokio::time::Instant::now());
+                    let server = WorkerServer::new(
+                        vm.vm.clone(),
+                        vm.capacity,
+                        checkpoints.clone(),
+                        tokio::time::Instant::now(),
+                    );
                     (vm.agent.clone(), server)
                 })
                 .collect(),
