--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -14,7 +14,6 @@
 pub mod drain;
 #[rustfmt::skip]
 pub mod peer;
-pub mod dedup;
 #[rustfmt::skip]
 pub mod settings;
 #[rustfmt::skip]
