Add the bench verbs and the measurement of the real request path

Change: bench requests, placement, control and path; path drives a small site over loopback and reads the processor time of the entry processes' threads.

--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -3,6 +3,7 @@
 use bpaf::{OptionParser, Parser, construct};
 
 use super::audit::{AuditVerb, audit};
+use super::bench::{Bench, bench};
 use super::bundle::{BundleVerb, bundle};
 use super::check::{Check, check};
 use super::dev::{Dev, dev};
@@ -34,6 +35,8 @@
     View(View),
     /// Takes workers and zones out of use.
     Drain(Drain),
+    /// Measures policies and costs.
+    Bench(Bench),
 }
 
 /// Options of the whole program.
@@ -47,14 +50,17 @@
     let job = job().map(Command::Job);
     let view = view().map(Command::View);
     let drain = drain().map(Command::Drain);
-    construct!([serve, dev, check, bundle, key, audit, job, view, drain])
-        .to_options()
-        .version(env!("CARGO_PKG_VERSION"))
-        .descr("Scheduler for colocated latency-critical and batch work")
-        .footer(
-            "Exit codes: 0 carried out, 1 refused or conflict, 2 wrong usage or bad input, \
+    let bench = bench().map(Command::Bench);
+    construct!([
+        serve, dev, check, bundle, key, audit, job, view, drain, bench
+    ])
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("Scheduler for colocated latency-critical and batch work")
+    .footer(
+        "Exit codes: 0 carried out, 1 refused or conflict, 2 wrong usage or bad input, \
              3 not reachable or outcome unknown",
-        )
+    )
 }
 
 impl Command {
@@ -70,6 +76,7 @@
             Self::Job(verb) => verb.run().await,
             Self::View(verb) => verb.run().await,
             Self::Drain(verb) => verb.run().await,
+            Self::Bench(verb) => verb.run().await,
         }
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod audit;
+mod bench;
 mod bundle;
 mod check;
 mod command;
--- a/src/dev/instance.rs
+++ b/src/dev/instance.rs
@@ -78,6 +78,7 @@
 fn new_runtime() -> io::Result<Runtime> {
     tokio::runtime::Builder::new_multi_thread()
         .worker_threads(RUNTIME_THREADS)
+        .thread_name("entry")
         .enable_all()
         .build()
 }
