--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -2,4 +2,4 @@
 
 mod requests;
 
-pub use requests::{KillRow, LoadRow, Policy, RequestsReport, SlotSharing, run_requests};
+pub use requests::{KillRow, LoadRow, Policy, RequestsReport, SlotSharing, Target, run_requests};
--- a/src/bench/requests.rs
+++ b/src/bench/requests.rs
@@ -2,9 +2,11 @@
 
 mod report;
 mod simulation;
+mod targets;
 mod workload;
 
 pub use report::{KillRow, LoadRow, RequestsReport};
+pub use targets::Target;
 
 use simulation::Simulation;
 pub use simulation::{Policy, SlotSharing};
--- a/src/bench/requests/report.rs
+++ b/src/bench/requests/report.rs
@@ -13,7 +13,7 @@
 
 /// Permitted ratio of the tail after and before; the p99 of the same load in two runs of this
 /// length differs by up to a tenth.
-const RECOVERED: f64 = 1.1;
+pub const RECOVERED: f64 = 1.1;
 
 /// Figures of one policy at one load.
 #[derive(Clone, Debug, serde::Serialize)]
@@ -173,6 +173,9 @@
         for kill in &self.kills {
             writeln!(f, "{kill}")?;
         }
+        for target in self.targets() {
+            writeln!(f, "{target}")?;
+        }
         Ok(())
     }
 }
