--- a/src/bench/requests/simulation.rs
+++ b/src/bench/requests/simulation.rs
@@ -3,12 +3,13 @@
 mod entry;
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::workload::{ENDPOINTS, FAR_US, NEAR_US, SLOTS, Workload, ZONES};
+use crate::routing::PeerLoad;
 use entry::Entry;
 pub use entry::SlotSharing;
 
@@ -37,6 +38,7 @@
     Reach { job: usize, endpoint: usize },
     Served { job: usize, endpoint: usize },
     Answer { job: usize, endpoint: usize },
+    Report { job: usize },
     Tick { entry: usize },
     Heartbeat,
     Kill,
@@ -82,6 +84,8 @@
     holder: Vec<usize>,
     /// Entry process at which each request arrived.
     first: Vec<usize>,
+    /// Loads on their way with the answers to forwarded requests.
+    reports: BTreeMap<usize, PeerLoad>,
     shared: VecDeque<usize>,
     turn: usize,
     /// Slots that may be used by the shared queue.
@@ -109,6 +113,7 @@
             entries: (0..entries).map(|at| Entry::new(at, seed)).collect(),
             holder: vec![0; work.jobs.len()],
             first: vec![0; work.jobs.len()],
+            reports: BTreeMap::new(),
             shared: VecDeque::new(),
             turn: 0,
             usable_slots: ENDPOINTS * SLOTS as usize,
@@ -141,6 +146,7 @@
                 Event::Reach { job, endpoint } => self.reach(job, endpoint, now),
                 Event::Served { job, endpoint } => self.served(job, endpoint, now),
                 Event::Answer { job, endpoint } => self.answer(job, endpoint, now),
+                Event::Report { job } => self.take_report(job, now),
                 Event::Tick { entry } => self.tick(entry, now),
                 Event::Heartbeat => {
                     self.heartbeat(now);
@@ -241,6 +247,9 @@
             };
             self.record(job, now + back);
         }
+        if holder != self.first[job] && self.entries[holder].alive {
+            self.send_report(job, now);
+        }
         if matches!(self.policy, Policy::Dispatcher(_)) && self.entries[holder].alive {
             self.finish(job, endpoint, now);
         }
--- a/src/bench/requests/simulation/entry.rs
+++ b/src/bench/requests/simulation/entry.rs
@@ -9,7 +9,9 @@
 use super::{Event, FAR_US, NEAR_US, Simulation, delay};
 use crate::bundle::BundleInForce;
 use crate::prelude::*;
-use crate::routing::{Arrival, Dispatcher, EndpointShare, Outcome, PeerLoad, RequestId, Verdict};
+use crate::routing::{
+    Arrival, Dispatcher, EndpointShare, Outcome, PeerLoad, RequestId, ServiceLoad, Verdict,
+};
 use crate::schema::bundle::{
     BatchPolicy, Bundle, BundleHead, ClassSpec, EvictionPolicy, InterferencePolicy, ServiceSpec,
     Weights,
@@ -138,6 +140,24 @@
         self.plan_tick(entry, now);
     }
 
+    /// Adds the load of a process to its answer to a forwarded request.
+    pub(super) fn send_report(&mut self, job: usize, now: u64) {
+        let (from, to) = (self.holder[job], self.first[job]);
+        let load = self.entries[from].dispatcher.load(&service());
+        if let Some(peer) = peer_load(from, to, &load) {
+            self.reports.insert(job, peer);
+            self.at(now + delay(from, to), Event::Report { job });
+        }
+    }
+
+    /// Takes the load of a peer from its answer to a forwarded request.
+    pub(super) fn take_report(&mut self, job: usize, now: u64) {
+        let entry = &mut self.entries[self.first[job]];
+        if let Some(peer) = self.reports.remove(&job) {
+            entry.dispatcher.update_peer(&service(), peer, millis(now));
+        }
+    }
+
     /// Exchanges load reports between all processes.
     pub(super) fn heartbeat(&mut self, now: u64) {
         let service = service();
@@ -149,15 +169,7 @@
         for at in 0..self.entries.len() {
             let peers = (0..loads.len())
                 .filter(|&peer| peer != at && self.entries[peer].alive)
-                .filter_map(|peer| {
-                    Some(PeerLoad {
-                        member: name(&format!("entry-{peer}"))?,
-                        zone: zone(peer),
-                        free_slots: loads[peer].free_slots,
-                        queue_delay: loads[peer].queue_delay,
-                        age: millis(delay(at, peer)),
-                    })
-                })
+                .filter_map(|peer| peer_load(peer, at, &loads[peer]))
                 .collect();
             let entry = &mut self.entries[at];
             entry.dispatcher.set_peers(&service, peers, millis(now));
@@ -201,6 +213,17 @@
     }
 }
 
+/// Returns the report of process `from` as process `to` sees it.
+fn peer_load(from: usize, to: usize, load: &ServiceLoad) -> Option<PeerLoad> {
+    Some(PeerLoad {
+        member: name(&format!("entry-{from}"))?,
+        zone: zone(from),
+        free_slots: load.free_slots,
+        queue_delay: load.queue_delay,
+        age: millis(delay(from, to)),
+    })
+}
+
 fn bundle() -> BundleInForce {
     let class = |(name, rule): (&str, (u32, u32, u64))| {
         let (urgency, share, max_wait_ms) = rule;
--- a/src/routing/dispatcher.rs
+++ b/src/routing/dispatcher.rs
@@ -67,6 +67,16 @@
         self.open(service).set_peers(peers, now);
     }
 
+    /// Replaces the report of a peer that is in the list, if the new one is newer.
+    ///
+    /// Answers to forwarded requests can carry the peer's [`load`](Self::load), which keeps the
+    /// reports of busy peers fresh without further messages.
+    pub fn update_peer(&mut self, service: &ServiceId, peer: PeerLoad, now: Millis) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.update_peer(peer, now);
+        }
+    }
+
     /// Decides on a new request.
     pub fn arrive(&mut self, req: Arrival, now: Millis) -> Verdict {
         if self.config.is_none() {
--- a/src/routing/peers.rs
+++ b/src/routing/peers.rs
@@ -74,6 +74,24 @@
             .collect();
     }
 
+    /// Replaces the report of one peer if it is newer than the last one.
+    pub fn update(&mut self, load: PeerLoad, now: Millis) {
+        let reported = now - load.age;
+        let held = self
+            .peers
+            .iter_mut()
+            .find(|peer| peer.load.member == load.member);
+        if let Some(peer) = held
+            && peer.reported < reported
+        {
+            *peer = Peer {
+                load,
+                reported,
+                forwarded: 0,
+            };
+        }
+    }
+
     /// Chooses a peer that is expected to serve a request sooner.
     ///
     /// `wait` is the expected wait here; `None` stands for a process that cannot serve at all and
--- a/src/routing/service/mod.rs
+++ b/src/routing/service/mod.rs
@@ -120,6 +120,12 @@
         self.wake = true;
     }
 
+    /// Replaces the report of one peer.
+    pub fn update_peer(&mut self, peer: PeerLoad, now: Millis) {
+        self.advance(now);
+        self.peers.update(peer, now);
+    }
+
     /// Decides on a new request.
     pub fn arrive(&mut self, req: Arrival, now: Millis) -> Verdict {
         self.advance(now);
--- a/tests/requests_choices.rs
+++ b/tests/requests_choices.rs
@@ -164,6 +164,27 @@
     );
 }
 
+/// Guards against forwarding by an old report although a newer one has arrived, and the reverse.
+#[test]
+fn the_newest_report_of_a_peer_counts() {
+    let mut dispatcher = dispatcher(1, 1);
+    (0..50).for_each(|n| drop(exchange(&mut dispatcher, arrival(n), NOW, |_| success(100))));
+    dispatcher.set_peers(&service(), vec![peer("idle", 0, 100)], Millis(1000));
+    sent(dispatcher.arrive(arrival(100), Millis(1000)));
+    let before = dispatcher.arrive(arrival(101), Millis(1000));
+
+    dispatcher.update_peer(&service(), peer("idle", 1, 0), Millis(1010));
+    let outdated = PeerLoad {
+        age: Millis(500),
+        ..peer("idle", 0, 100)
+    };
+    dispatcher.update_peer(&service(), outdated, Millis(1010));
+    let after = dispatcher.arrive(arrival(102), Millis(1010));
+
+    assert_eq!(before, Verdict::Wait);
+    assert_eq!(after, Verdict::Forward(id("idle")));
+}
+
 /// Guards against a new process, which holds no slots yet, that refuses what its peers can serve.
 #[test]
 fn a_process_without_slots_forwards_to_the_shortest_queue() {
