Forward between busy processes for large differences only

At 300% load a third of all requests were forwarded although every queue was long. The difference must now be a quarter of the own queue.

--- a/src/routing/peers.rs
+++ b/src/routing/peers.rs
@@ -21,6 +21,10 @@
 /// Difference of queues below which requests are not forwarded to a process without free slots.
 const MIN_GAIN: Millis = Millis(20);
 
+/// Part of the own queue that the difference must be; in a surge all queues are long, and a small
+/// difference does not justify a hop.
+const MIN_GAIN_PART: f64 = 0.25;
+
 /// Queue of this process.
 #[derive(Clone, Copy, Debug)]
 pub struct Backlog {
@@ -145,7 +149,8 @@
         let free = f64::from(peer.load.free_slots) * fresh;
         let delay = self.hop(peer) + peer.load.queue_delay;
         let gain = backlog.drain.since(delay).get() as f64;
-        let shorter = if gain > MIN_GAIN.get() as f64 {
+        let least = (backlog.drain.get() as f64 * MIN_GAIN_PART).max(MIN_GAIN.get() as f64);
+        let shorter = if gain > least {
             gain / 2.0 * backlog.capacity * fresh
         } else {
             0.0
--- a/tests/requests_choices.rs
+++ b/tests/requests_choices.rs
@@ -223,3 +223,21 @@
     assert_eq!(in_progress, 2);
     assert_eq!(dispatcher.load(&service()).in_progress, 1);
 }
+
+/// Guards against a storm of forwarded requests between processes that are all overloaded.
+#[test]
+fn small_differences_between_long_queues_are_not_forwarded() {
+    for (delay, forwarded) in [(750, false), (100, true)] {
+        let mut dispatcher = dispatcher(1, 1);
+        (0..50).for_each(|n| drop(exchange(&mut dispatcher, arrival(n), NOW, |_| success(100))));
+        for n in 100..110 {
+            dispatcher.arrive(arrival(n), Millis(1000));
+        }
+        dispatcher.set_peers(&service(), vec![peer("other", 0, delay)], Millis(1000));
+
+        let verdict = dispatcher.arrive(arrival(110), Millis(1000));
+
+        let forward = matches!(verdict, Verdict::Forward(_));
+        assert_eq!(forward, forwarded, "{delay} ms there: {verdict:?}");
+    }
+}
