--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -13,3 +13,4 @@
 pub use path::{PathReport, Quantiles, run_path};
 pub use placement::{DecisionCost, PlacementReport, run_placement};
 pub use requests::{KillRow, LoadRow, Policy, RequestsReport, SlotSharing, run_requests};
+pub use requests::{KillRow, LoadRow, Policy, RequestsReport, SlotSharing, Target, run_requests};
--- a/tests/requests_choices.rs
+++ b/tests/requests_choices.rs
@@ -164,6 +164,27 @@
     );
 }
 
+/// Guards against forwarding by an old report although a newer one has arrived, and the reverse.
+#[test]
+fn the_newest_report_of_a_peer_counts() {
+    let mut dispatcher = dispatcher(1, 1);
+    (0..50).for_each(|n| drop(exchange(&mut dispatcher, arrival(n), NOW, |_| success(100))));
+    dispatcher.set_peers(&service(), vec![peer("idle", 0, 100)], Millis(1000));
+    sent(dispatcher.arrive(arrival(100), Millis(1000)));
+    let before = dispatcher.arrive(arrival(101), Millis(1000));
+
+    dispatcher.update_peer(&service(), peer("idle", 1, 0), Millis(1010));
+    let outdated = PeerLoad {
+        age: Millis(500),
+        ..peer("idle", 0, 100)
+    };
+    dispatcher.update_peer(&service(), outdated, Millis(1010));
+    let after = dispatcher.arrive(arrival(102), Millis(1010));
+
+    assert_eq!(before, Verdict::Wait);
+    assert_eq!(after, Verdict::Forward(id("idle")));
+}
+
 /// Guards against a new process, which holds no slots yet, that refuses what its peers can serve.
 #[test]
 fn a_process_without_slots_forwards_to_the_shortest_queue() {
@@ -202,3 +223,21 @@
     assert_eq!(in_progress, 2);
     assert_eq!(dispatcher.load(&service()).in_progress, 1);
 }
+
+/// Guards against a storm of forwarded requests between processes that are all overloaded.
+#[test]
+fn small_differences_between_long_queues_are_not_forwarded() {
+    for (delay, forwarded) in [(750, false), (100, true)] {
+        let mut dispatcher = dispatcher(1, 1);
+        (0..50).for_each(|n| drop(exchange(&mut dispatcher, arrival(n), NOW, |_| success(100))));
+        for n in 100..110 {
+            dispatcher.arrive(arrival(n), Millis(1000));
+        }
+        dispatcher.set_peers(&service(), vec![peer("other", 0, delay)], Millis(1000));
+
+        let verdict = dispatcher.arrive(arrival(110), Millis(1000));
+
+        let forward = matches!(verdict, Verdict::Forward(_));
+        assert_eq!(forward, forwarded, "{delay} ms there: {verdict:?}");
+    }
+}
