Bound the bytes of request bodies held for sending again

Bodies of up to 64 KB were held per connection without a common limit; 16 MB is now the limit, and requests beyond it are refused as not run.

--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, Uri, header};
 use parking_lot::Mutex;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
 use super::gauge::InProgress;
 use super::head::{DEADLINE, Head, header_value};
@@ -26,6 +26,8 @@
     pub(super) body: CallBody,
     pub(super) arrived: Millis,
     pub(super) deadline: Millis,
+    /// Share of the bytes that may be held for sending again.
+    pub(super) _held: OwnedSemaphorePermit,
     pub(super) _guard: InProgress,
 }
 
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -9,6 +9,9 @@
 /// Connections to one peer, for forwarded requests.
 const PEER_CONNECTIONS: u32 = 64;
 
+/// Bytes of request bodies that are held at once for sending again.
+const BODY_BYTES: usize = 16 << 20;
+
 /// Identity and limits of a proxy.
 #[derive(Clone)]
 pub struct ProxyConfig {
@@ -22,6 +25,8 @@
     pub first_view: Option<Arc<dyn KeyView>>,
     /// Connections to one peer.
     pub peer_connections: u32,
+    /// Bytes of request bodies held at once; requests beyond it are refused.
+    pub body_bytes: usize,
 }
 
 impl ProxyConfig {
@@ -33,6 +38,7 @@
             keys: KeyLimits::default(),
             first_view: None,
             peer_connections: PEER_CONNECTIONS,
+            body_bytes: BODY_BYTES,
         }
     }
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -21,6 +21,7 @@
 mod proxy;
 mod relay;
 mod reply;
+mod round;
 mod serve;
 mod settle;
 mod shared;
--- a/src/proxy/proxy.rs
+++ b/src/proxy/proxy.rs
@@ -3,6 +3,7 @@
 use async_trait::async_trait;
 use parking_lot::Mutex;
 use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
 
 use super::board::Board;
 use super::gauge::Gauge;
@@ -61,6 +62,7 @@
             ownership,
             gauge: Gauge::new(metrics.in_progress.clone()),
             metrics,
+            body_bytes: Arc::new(Semaphore::new(cfg.body_bytes)),
             cancel,
             runtime: runtime.clone(),
         });
--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -48,6 +48,12 @@
     };
     let deadline = arrived + shared.time_for(&head.service, head.deadline);
     let whole = head.length <= WHOLE_BYTES;
+    let held = if whole { head.length } else { 0 };
+    let held = u32::try_from(held).unwrap_or(u32::MAX);
+    let Ok(held) = shared.body_bytes.clone().try_acquire_many_owned(held) else {
+        let reply = Reply::unavailable("too-many-bytes-in-flight");
+        return respond(shared, reply, guard, None);
+    };
     let (body, mut upload) = if whole {
         match read_whole(shared, body, head.length, deadline).await {
             Some(content) => (CallBody::Whole(content), None),
@@ -71,6 +77,7 @@
         arrived,
         deadline,
         _guard: guard.clone(),
+        _held: held,
     });
     let (tx, mut rx) = oneshot::channel();
     shared.runtime.spawn(drive(shared.clone(), call, tx));
--- a/src/proxy/shared.rs
+++ b/src/proxy/shared.rs
@@ -1,6 +1,7 @@
 //! What all requests of a proxy share.
 
 use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
 
 use super::board::Board;
 use super::call::Call;
@@ -31,6 +32,8 @@
     pub(super) ownership: Arc<dyn Ownership>,
     pub(super) metrics: ProxyMetrics,
     pub(super) gauge: Arc<Gauge>,
+    /// Bytes of request bodies that may be held for sending again.
+    pub(super) body_bytes: Arc<Semaphore>,
     pub(super) cancel: CancellationToken,
     pub(super) runtime: Handle,
 }
--- a/tests/proxy_answers.rs
+++ b/tests/proxy_answers.rs
@@ -167,3 +167,30 @@
     assert!(got.is_whole_answer_to("upload"), "{:?}", got.status);
     assert_eq!(runs(&endpoints, "upload"), 1);
 }
+
+/// Guards against unbounded memory for request bodies that wait for their answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_bodies_beyond_the_bytes_in_flight_are_refused() {
+    let endpoints = endpoints(1).await;
+    let ring = Ring::new(&["entry-1"]);
+    let shares = shares(&endpoints, 8);
+    let adapt = |cfg: &mut sapphirecroft::proxy::ProxyConfig| cfg.body_bytes = 10_000;
+    let entry = Entry::start_with(&ring, "entry-1", shares, adapt).await;
+    let upload = |name: &str, work| {
+        let (parts, _) = post(name, work, 0).into_parts();
+        http::Request::from_parts(parts, Full::new(Bytes::from(vec![b'x'; 8_000])))
+    };
+
+    let (addr, req) = (entry.addr, upload("first", 1_500));
+    let first = tokio::spawn(async move { call(addr, req).await });
+    until("the first runs", || runs(&endpoints, "first") == 1).await;
+    let second = call(entry.addr, upload("second", 1)).await;
+    let first = first.await.expect("caller ends");
+    entry.proxy.drained().await;
+    let third = call(entry.addr, upload("third", 1)).await;
+
+    assert_eq!(second.outcome(), "not-run", "{second:?}");
+    assert_eq!(runs(&endpoints, "second"), 0);
+    assert!(first.is_whole_answer_to("first"), "{first:?}");
+    assert!(third.is_whole_answer_to("third"), "{third:?}");
+}
--- a/tests/proxy_support/mod.rs
+++ b/tests/proxy_support/mod.rs
@@ -115,6 +115,15 @@
     }
 
     pub async fn start(ring: &Ring, name: &str, shares: Vec<EndpointShare>) -> Self {
+        Self::start_with(ring, name, shares, |_| ()).await
+    }
+
+    pub async fn start_with(
+        ring: &Ring,
+        name: &str,
+        shares: Vec<EndpointShare>,
+        adapt: impl FnOnce(&mut ProxyConfig),
+    ) -> Self {
         let member: MemberId = id(name);
         let cancel = CancellationToken::new();
         let stop_peers = CancellationToken::new();
@@ -122,6 +131,7 @@
         active.raise(bundle());
         let mut cfg = ProxyConfig::new(member.clone());
         cfg.first_view = Some(Arc::new(ring.view()));
+        adapt(&mut cfg);
         let mut dispatcher = Dispatcher::new(id("tulua"), 1);
         dispatcher.configure(&bundle(), cfg.clock.now());
         let dispatcher = Arc::new(Mutex::new(dispatcher));
