Count the wait for old leases from when a rack became one's own

An owner may get a rack after it adopted an epoch, when the previous owner has let go of it; the wait counted from the epoch and could end too early.

--- a/src/placement/owner.rs
+++ b/src/placement/owner.rs
@@ -7,7 +7,6 @@
 use super::fleet::Fleet;
 use super::free_index::{FreeIndex, Slot};
 use super::interference::Interference;
-use super::lease::certain_expiry;
 use super::worker_book::WorkerBook;
 use crate::batch::{shard_of_job, split_task};
 use crate::bundle::BundleInForce;
@@ -38,7 +37,6 @@
 pub struct RackOwner {
     pub(super) ownership: Arc<dyn Ownership>,
     pub(super) epoch: Epoch,
-    pub(super) epoch_seen: Millis,
     pub(super) slots: BTreeMap<VmId, Slot>,
     pub(super) books: BTreeMap<Slot, WorkerBook>,
     pub(super) index: FreeIndex,
@@ -57,7 +55,6 @@
         Self {
             ownership,
             epoch: Epoch(0),
-            epoch_seen: Millis::ZERO,
             slots: BTreeMap::new(),
             books: BTreeMap::new(),
             index: FreeIndex::default(),
@@ -78,7 +75,6 @@
             return;
         }
         self.epoch = epoch;
-        self.epoch_seen = now;
         let me = self.ownership.me();
         let ownership = &self.ownership;
         self.books
@@ -88,7 +84,7 @@
         self.index = FreeIndex::default();
         self.holds.clear();
         for book in self.books.values_mut() {
-            book.start_epoch();
+            book.start_epoch(now);
         }
     }
 
@@ -119,7 +115,7 @@
                 .service
                 .as_ref()
                 .map(|service| self.interference.kind(&format!("service:{service}")));
-            let slot = self.slot(&place);
+            let slot = self.slot(&place, now);
             if let Some(book) = self.books.get_mut(&slot) {
                 book.set_listed(&vm, service);
             }
@@ -162,14 +158,14 @@
             .set_half_life(Millis::from_secs(half_life.into()));
     }
 
-    pub(super) fn slot(&mut self, place: &Place) -> Slot {
+    pub(super) fn slot(&mut self, place: &Place, now: Millis) -> Slot {
         if let Some(slot) = self.slots.get(&place.worker) {
             return *slot;
         }
         let slot = self.next_slot;
         self.next_slot += 1;
         self.slots.insert(place.worker.clone(), slot);
-        self.books.insert(slot, WorkerBook::new(place.clone()));
+        self.books.insert(slot, WorkerBook::new(place.clone(), now));
         slot
     }
 
@@ -242,19 +238,14 @@
         self.ownership.rack_owner(&place.rack) == Some(self.ownership.me())
     }
 
-    /// Tells whether leases from before this epoch on a worker that was not claimed have expired.
-    fn old_leases_expired(&self, now: Millis) -> bool {
-        now.since(self.epoch_seen) > certain_expiry()
-    }
-
     fn start(&mut self, start: &StartAttempt, now: Millis) -> Option<AttemptState> {
         if !self.is_mine(&start.place) {
             return None;
         }
-        let expired = self.old_leases_expired(now);
         let kind = self.interference.kind(&start.kind);
-        let slot = self.slot(&start.place);
+        let slot = self.slot(&start.place, now);
         let book = self.books.get_mut(&slot)?;
+        let expired = book.old_leases_expired(now);
         if book.is_buried(&start.task, start.attempt) {
             return Some(AttemptState::Waiting);
         }
@@ -309,9 +300,9 @@
         if !self.is_mine(&stop.place) {
             return None;
         }
-        let expired = self.old_leases_expired(now);
-        let slot = self.slot(&stop.place);
+        let slot = self.slot(&stop.place, now);
         let book = self.books.get_mut(&slot)?;
+        let expired = book.old_leases_expired(now);
         if book.is_buried(&stop.task, stop.attempt) {
             return Some(AttemptState::Waiting);
         }
--- a/src/placement/worker_book.rs
+++ b/src/placement/worker_book.rs
@@ -46,6 +46,8 @@
     pub(super) reported: Option<Resources>,
     pub(super) listed: bool,
     pub(super) leaving: bool,
+    /// Time since which this process has owned the worker in the present epoch.
+    pub(super) owned_since: Millis,
     pub(super) claimed: bool,
     /// A higher epoch was seen at the agent; nothing may be said about attempts until adopting it.
     pub(super) fenced_out: bool,
@@ -73,7 +75,7 @@
 
 impl WorkerBook {
     /// Creates the book of a worker that is not claimed yet.
-    pub(super) fn new(place: Place) -> Self {
+    pub(super) fn new(place: Place, now: Millis) -> Self {
         Self {
             place,
             zone: ZoneId::default(),
@@ -82,6 +84,7 @@
             reported: None,
             listed: false,
             leaving: false,
+            owned_since: now,
             claimed: false,
             fenced_out: false,
             clock: Millis::ZERO,
@@ -121,7 +124,8 @@
     ///
     /// Another owner may have acted on the worker in between, so ends that were seen earlier
     /// prove nothing any more.
-    pub(super) fn start_epoch(&mut self) {
+    pub(super) fn start_epoch(&mut self, now: Millis) {
+        self.owned_since = now;
         self.claimed = false;
         self.fenced_out = false;
         self.clock = Millis::ZERO;
@@ -137,6 +141,11 @@
         self.lease_sent_at = None;
     }
 
+    /// Tells whether leases of earlier owners have expired on a worker that was not claimed.
+    pub(super) fn old_leases_expired(&self, now: Millis) -> bool {
+        now.since(self.owned_since) > certain_expiry()
+    }
+
     /// Returns the capacity that may be promised.
     pub(super) fn capacity(&self) -> Resources {
         match self.reported {
--- /dev/null
+++ b/tests/batch_leases.rs
@@ -0,0 +1,157 @@
+//! When a rack owner may say that an attempt on a worker that does not answer is gone.
+
+mod batch_support;
+
+use batch_support::view::View;
+use batch_support::{bundle, id, worker};
+use sapphirecroft::batch::{job_id, task_id};
+use sapphirecroft::placement::{Fleet, RackOwner};
+use sapphirecroft::platform::AgentCommand;
+use sapphirecroft::prelude::*;
+use sapphirecroft::schema::batch::{AttemptState, EndKind, Place, RackCall, StartAttempt};
+use sapphirecroft::schema::worker::{AgentReply, TaskPhase, TaskReport, WorkerState};
+
+/// 15 s of lease on a clock that may be 10% slow, and 1 s of margin.
+const CERTAIN: Millis = Millis(17_500);
+
+const CORE: Resources = Resources::new(1000, 1000, 0);
+
+fn owner(view: &Arc<View>) -> RackOwner {
+    let mut owner = RackOwner::new(view.clone(), 1);
+    let fleet = Fleet::new(&id("r1"), &[worker(0)]);
+    owner.adopt_epoch(Millis(0));
+    owner.set_site(&fleet, Some(Arc::new(bundle())), Millis(0));
+    owner
+}
+
+fn view() -> Arc<View> {
+    View::new(id("m1"), Epoch(1), vec![id("m1")])
+}
+
+/// Answers the claim that is due with a state in which the attempt runs.
+fn claim(owner: &mut RackOwner, now: Millis) {
+    let work = owner.agent_work(now).remove(0);
+    assert!(matches!(work.command, AgentCommand::Claim(_)));
+    let state = WorkerState {
+        vm: id("w0"),
+        epoch: owner.epoch(),
+        capacity: worker(0).capacity,
+        clock: Millis(70_000),
+        tasks: vec![TaskReport {
+            task: task(),
+            attempt: Attempt(1),
+            phase: TaskPhase::Running,
+            resources: CORE,
+            kind: "plan".to_string(),
+            checkpoint: None,
+            slowdown: Permille(1000),
+            measured_age: Millis(0),
+            used: CORE,
+        }],
+    };
+    owner.agent_answered(
+        &work.worker,
+        work.number,
+        Some(AgentReply::Done(state)),
+        now,
+    );
+}
+
+fn task() -> TaskId {
+    task_id(&job_id(0, 1), 0)
+}
+
+fn place() -> Place {
+    Place {
+        worker: id("w0"),
+        rack: id("rack0"),
+    }
+}
+
+/// Asks for the state of the attempt as its job owner does.
+fn ask(owner: &mut RackOwner, now: Millis) -> AttemptState {
+    let call = RackCall {
+        epoch: owner.epoch(),
+        from: id("m1"),
+        release: Vec::new(),
+        stop: Vec::new(),
+        start: vec![StartAttempt {
+            task: task(),
+            attempt: Attempt(1),
+            place: place(),
+            resources: CORE,
+            kind: "plan".to_string(),
+            can_checkpoint: true,
+            evictable: true,
+            run_time: Millis(600_000),
+            resume_from: None,
+        }],
+        reserve: Vec::new(),
+        blame: Vec::new(),
+        teams: Vec::new(),
+    };
+    owner.handle(&call, now).status[0].state.clone()
+}
+
+/// Runs rounds in which no command is answered; returns when the attempt was declared gone.
+fn gone_at(owner: &mut RackOwner, from: Millis) -> Millis {
+    for step in 0..1000 {
+        let now = from + Millis(step * 100);
+        for work in owner.agent_work(now) {
+            owner.agent_answered(&work.worker, work.number, None, now);
+        }
+        if let AttemptState::Ended(end) = ask(owner, now) {
+            assert_eq!(end.kind, EndKind::Gone);
+            return now;
+        }
+    }
+    panic!("attempt was never declared gone");
+}
+
+/// Guards against a new attempt while a lease that the previous owner renewed just before the
+/// claim is still good.
+#[test]
+fn leases_from_before_a_claim_are_waited_for() {
+    let mut owner = owner(&view());
+    let claimed = Millis(5000);
+
+    // The claim is answered, then the worker falls silent before the first renewal is sent.
+    claim(&mut owner, claimed);
+    let gone = gone_at(&mut owner, claimed + Millis(7000));
+
+    assert!(
+        gone > claimed + CERTAIN,
+        "declared gone after {} ms",
+        gone - claimed
+    );
+    assert!(gone <= claimed + CERTAIN + Millis(1000));
+}
+
+/// Guards against an attempt that is given up while a removed owner's lease may be good, and
+/// against one that is waited for without end.
+#[test]
+fn a_worker_that_is_never_claimed_is_given_up_after_old_leases_have_expired() {
+    let mut owner = owner(&view());
+
+    let gone = gone_at(&mut owner, Millis(0));
+
+    assert!(gone > CERTAIN && gone <= CERTAIN + Millis(200), "{gone}");
+}
+
+/// Guards against an end that an owner saw before the rack went through other hands: the other
+/// owner may have started the attempt again.
+#[test]
+fn ends_from_an_earlier_epoch_prove_nothing() {
+    let view = view();
+    let mut owner = owner(&view);
+    claim(&mut owner, Millis(5000));
+    let gone = gone_at(&mut owner, Millis(12_000));
+
+    let mut state = view.state.lock().expect("not poisoned");
+    state.adopt(Epoch(3), vec![id("m1")]);
+    drop(state);
+    owner.adopt_epoch(gone);
+    claim(&mut owner, gone);
+
+    assert_eq!(ask(&mut owner, gone), AttemptState::Running);
+}
