--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Benchmarks in virtual time, and the simulations that they and the tests run.
 
 mod colocation;
+pub mod control;
 mod model_worker;
 mod placement;
 pub mod region_sim;
