--- a/src/bench/control/cost.rs
+++ b/src/bench/control/cost.rs
@@ -31,22 +31,36 @@
     pub settled_millis: f64,
     /// All slots while a death is handed over.
     pub handover_millis: f64,
-    /// Memory of the machine without endpoints.
+}
+
+/// Memory of one machine.
+pub(super) struct Memory {
+    /// Without endpoints.
     pub state_bytes: f64,
-    /// Memory for each endpoint.
+    /// For each endpoint.
     pub endpoint_bytes: f64,
 }
 
+/// Measures the memory at each size; must run before anything else frees memory.
+pub(super) fn measure_memory(sizes: &[usize], endpoints: usize) -> Vec<Memory> {
+    let mut kept = Vec::new();
+    let memory = sizes.iter().map(|members| {
+        let bare = memory_of(*members, 0, &mut kept);
+        let full = memory_of(*members, endpoints, &mut kept);
+        Memory {
+            state_bytes: bare,
+            endpoint_bytes: (full - bare) / endpoints as f64,
+        }
+    });
+    memory.collect()
+}
+
 pub(super) fn measure(members: usize, endpoints: usize) -> Costs {
-    let bare = memory_of(members, 0);
-    let full = memory_of(members, endpoints);
     Costs {
         heartbeat_micros: heartbeat_micros(members),
         tick_micros: tick_micros(members, endpoints),
         settled_millis: recompute_millis(members, endpoints, false),
         handover_millis: recompute_millis(members, endpoints, true),
-        state_bytes: bare,
-        endpoint_bytes: (full - bare) / endpoints as f64,
     }
 }
 
@@ -128,21 +142,20 @@
 }
 
 /// Returns the bytes of one machine, from the growth of this process's memory.
-fn memory_of(members: usize, endpoints: usize) -> f64 {
+///
+/// The machines are kept, because memory that was freed would hide later growth.
+fn memory_of(members: usize, endpoints: usize, kept: &mut Vec<Membership>) -> f64 {
     let record = record(members);
     let Some(before) = resident_bytes() else {
         return 0.0;
     };
-    let machines: Vec<Membership> = (0..MACHINES)
-        .map(|_| {
-            let mut machine = machine(members, 0, endpoints);
-            machine.step(Input::ViewReceived(record.clone()), Millis(60_000));
-            machine.step(Input::Tick, Millis(60_000));
-            machine
-        })
-        .collect();
+    for _ in 0..MACHINES {
+        let mut machine = machine(members, 0, endpoints);
+        machine.step(Input::ViewReceived(record.clone()), Millis(60_000));
+        machine.step(Input::Tick, Millis(60_000));
+        kept.push(machine);
+    }
     let after = resident_bytes().unwrap_or(before);
-    drop(black_box(machines));
     (after - before).max(0.0) / MACHINES as f64
 }
 
--- a/src/bench/control/report.rs
+++ b/src/bench/control/report.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use super::HeadSizes;
-use super::cost::Costs;
+use super::cost::{Costs, Memory};
 use super::traffic::Traffic;
 use crate::membership::Timing;
 use crate::prelude::*;
@@ -64,7 +64,13 @@
 }
 
 impl ControlRow {
-    pub(super) fn new(members: usize, costs: &Costs, traffic: &Traffic, http_micros: f64) -> Self {
+    pub(super) fn new(
+        members: usize,
+        costs: &Costs,
+        memory: &Memory,
+        traffic: &Traffic,
+        http_micros: f64,
+    ) -> Self {
         // A member bears one end of each exchange.
         let exchange = (costs.heartbeat_micros + http_micros) / 2.0;
         let micros = traffic.exchanges * exchange + TICKS * costs.tick_micros;
@@ -81,8 +87,8 @@
             settled_millis: costs.settled_millis,
             handover_millis: costs.handover_millis,
             processor_percent: micros / 1e4,
-            state_bytes: costs.state_bytes,
-            endpoint_bytes: costs.endpoint_bytes,
+            state_bytes: memory.state_bytes,
+            endpoint_bytes: memory.endpoint_bytes,
             store: traffic.store,
         }
     }
--- a/tests/members_relay.rs
+++ b/tests/members_machine.rs
@@ -1,4 +1,4 @@
-//! What one membership machine tells another one.
+//! One membership machine, and what it tells another one.
 
 use sapphirecroft::membership::{Input, Membership, Output, Timing};
 use sapphirecroft::prelude::*;
@@ -145,3 +145,50 @@
     });
     beat.expect("a heartbeat is due")
 }
+
+/// A member whose store lease was granted by a call that was sent at `NOW`.
+fn leased(answered: Millis) -> Membership {
+    let mut machine = machine("a");
+    machine.step(Input::VmsRead(Vec::new()), NOW);
+    let outputs = machine.step(Input::Tick, NOW);
+    let grants = |output: &Output| matches!(output, Output::CreateLease(_));
+    assert!(outputs.iter().any(grants));
+    machine.step(Input::LeaseKept(NOW), answered);
+    // The first grant came after the record was learned from a peer, so it needs a new epoch.
+    let read = Input::RecordRead {
+        started: answered,
+        record: Some((record(), Revision(7))),
+        entries: vec![member("a", "zone-1")],
+    };
+    machine.step(read, answered);
+    machine.step(Input::RecordWritten, answered);
+    assert_eq!(machine.epoch(), Epoch(2));
+    machine
+}
+
+/// Guards against a lease that is counted from its answer, or longer than any clock allows.
+#[test]
+fn lease_counts_from_before_its_renewal_with_an_allowance() {
+    let machine = leased(NOW + Millis(900));
+
+    assert!(machine.is_active(NOW + Millis(3300)));
+    assert!(!machine.is_active(NOW + Millis(4000 * 10 / 11 - 300)));
+}
+
+/// Guards against acknowledgements that were given for another set of members.
+#[test]
+fn acknowledgements_count_in_their_epoch_only() {
+    let later = NOW + Millis(5000);
+    for (epoch, active) in [(Epoch(2), true), (Epoch(1), false), (Epoch(3), false)] {
+        let mut machine = leased(NOW);
+        machine.step(Input::Tick, later);
+        machine.step(Input::LeaseFailed, later);
+        let mut answer = beat(&mut self::machine("b"), "a:7101", later);
+        answer.epoch = epoch;
+
+        machine.step(Input::Answered(later, answer), later);
+
+        assert_eq!(machine.is_active(later), active, "epoch {epoch}");
+        assert!(!machine.is_active(later + Millis(2500)), "it ends");
+    }
+}
