--- a/tests/members_machine.rs
+++ b/tests/members_machine.rs
@@ -192,3 +192,44 @@
         assert!(!machine.is_active(later + Millis(2500)), "it ends");
     }
 }
+
+/// Guards against a removal that relies on a lapse read before the reports, when the member could
+/// still be granted its lease again.
+#[test]
+fn removal_needs_a_lapse_that_was_read_after_the_reports() {
+    let silent = NOW + Millis(4500);
+    let reported = silent + Millis(100);
+    let cases = [
+        (silent + Millis(50), vec!["a", "b"], false),
+        (silent + Millis(200), vec!["a", "b", "c"], false),
+        (silent + Millis(200), vec!["a", "b"], true),
+    ];
+    for (started, live, removes) in cases {
+        let mut machine = leased(NOW);
+        let mut of_b = beat(&mut self::machine("b"), "a:7101", NOW);
+        machine.step(Input::Tick, silent);
+        machine.step(read(&machine, silent, &["a", "b"]), silent);
+        of_b.epoch = machine.epoch();
+        of_b.silent = vec![id("c")];
+        machine.receive(&of_b, reported);
+
+        let now = silent + Millis(300);
+        let outputs = machine.step(read(&machine, started, &live), now);
+
+        let written = outputs.iter().find_map(|output| match output {
+            Output::WriteRecord(_, record) => record.changes.last(),
+            _ => None,
+        });
+        let removed = written.map(|change| change.removed.clone());
+        assert_eq!(removed, removes.then(|| vec![id("c")]), "{live:?}");
+    }
+}
+
+fn read(machine: &Membership, started: Millis, live: &[&str]) -> Input {
+    let record = machine.table().map(|table| table.record().clone());
+    Input::RecordRead {
+        started,
+        record: record.map(|record| (record, Revision(8))),
+        entries: live.iter().map(|name| member(name, "zone-1")).collect(),
+    }
+}
