--- a/src/audit/chain.rs
+++ b/src/audit/chain.rs
@@ -96,7 +96,8 @@
                 "segment does not continue the one before it",
             );
         }
-        for (expected, entry) in (self.first_seq()..).zip(&self.entries) {
+        for (offset, entry) in (0_u64..).zip(&self.entries) {
+            let expected = self.first_seq().saturating_add(offset);
             if entry.seq != expected {
                 fault(expected, "entry is missing or out of order");
             }
