Bound the reads of an audit page by the retention

absurd_numbers_are_only_faults hung: a tampered segment number made the page read missing segments without end.

--- a/src/audit/trail.rs
+++ b/src/audit/trail.rs
@@ -96,12 +96,15 @@
         let after = after.unwrap_or_else(|| last.saturating_sub(limit as u64));
         let after = after.max(first_seq(open.oldest) - 1);
         let mut entries = Vec::new();
-        let mut number = segment_of(after.saturating_add(1));
-        while entries.len() < limit && number <= open.number {
+        // The retention bounds the number of reads even if the open segment was tampered with.
+        let first = segment_of(after.saturating_add(1)).max(oldest_kept(open.number));
+        for number in first..=open.number {
             let segment = self.segment(number, &open).await?;
             let found = segment.into_iter().flat_map(|segment| segment.entries);
             entries.extend(found.filter(|entry| entry.seq > after));
-            number += 1;
+            if entries.len() >= limit {
+                break;
+            }
         }
         entries.truncate(limit);
         Ok(AuditPage { entries, last })
