--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,4 +1,4 @@
-//! Benchmarks in virtual time, and the simulations that they and the tests run.
+//! Benchmarks, and the simulations that they and the tests run.
 
 mod colocation;
 pub mod control;
@@ -12,5 +12,4 @@
 pub use control::{ControlReport, run_control};
 pub use path::{PathReport, Quantiles, run_path};
 pub use placement::{DecisionCost, PlacementReport, run_placement};
-pub use requests::{KillRow, LoadRow, Policy, RequestsReport, SlotSharing, run_requests};
 pub use requests::{KillRow, LoadRow, Policy, RequestsReport, SlotSharing, Target, run_requests};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,6 @@
 pub mod admission;
 pub mod audit;
 pub mod batch;
-pub mod admission;
 pub mod bench;
 pub mod bundle;
 pub mod cli;
