--- a/src/bench/control/heads.rs
+++ b/src/bench/control/heads.rs
@@ -104,7 +104,7 @@
     let received = received.await;
     cancel.cancel();
     // A server that is dropped while it runs panics with the runtime.
-    let _ = server.join().await;
+    server.stopped().await;
     head_size(&received.ok()??)
 }
 
@@ -142,7 +142,7 @@
         .zip(before)
         .map(|(now, then)| now - then);
     cancel.cancel();
-    let _ = server.join().await;
+    server.stopped().await;
     used.filter(|_| answered == EXCHANGES)
         .map(|used| used * 1e6 / f64::from(EXCHANGES))
 }
