--- a/tests/dedup_table.rs
+++ b/tests/dedup_table.rs
@@ -246,6 +246,21 @@
     assert_eq!(expired, None);
 }
 
+/// Guards against a backup that lets a second home send a request again.
+#[test]
+fn backup_refuses_another_attempt_unless_the_first_did_not_run() {
+    let mut table = table();
+    let first = record("m:1", 0, KeyState::InProgress);
+    let second = record("n:1", 0, KeyState::InProgress);
+    table.back_up(&first, None, Millis(0));
+
+    let refused = table.back_up(&second, None, Millis(1));
+    let replaced = table.back_up(&second, Some(&first.attempt), Millis(1));
+
+    assert!(matches!(refused, BackUp::Conflict(held) if held.attempt == first.attempt));
+    assert_eq!(replaced, BackUp::Recorded);
+}
+
 struct View(u64, Vec<&'static str>);
 
 impl KeyView for View {
--- a/tests/proxy_failures.rs
+++ b/tests/proxy_failures.rs
@@ -117,6 +117,22 @@
     }
 }
 
+/// Guards against a silent connection that nobody notices when no other endpoint can help.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connection_to_the_only_endpoint_is_replaced() {
+    let endpoints = endpoints(1).await;
+    let entry = Entry::alone(shares(&endpoints, 8)).await;
+    silence(&entry, &endpoints).await;
+    let mut req = get("r", 1, 0);
+    let deadline = "6000".parse().expect("value");
+    req.headers_mut()
+        .insert("sapphirecroft-deadline-ms", deadline);
+
+    let got = call(entry.addr, req).await;
+
+    assert!(got.is_whole_answer_to("r"), "{got:?}");
+}
+
 /// Guards against a request that may run only once being sent on a dead idle connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn idle_connections_are_probed_before_keyed_requests() {
