--- a/src/routing/service/mod.rs
+++ b/src/routing/service/mod.rs
@@ -12,7 +12,7 @@
 use super::peers::{Backlog, Peers};
 use super::tracked::Tracked;
 use super::{Arrival, EndpointShare, PeerLoad, RequestId, ServiceLoad, Verdict};
-use crate::admission::{LatencyWindow, Refusal, ServiceQueue, Ticket};
+use crate::admission::{LatencyWindow, Refusal, Room, ServiceQueue, Ticket};
 use crate::bundle::BundleInForce;
 use crate::prelude::*;
 use crate::retry::RetryBudget;
@@ -120,6 +120,12 @@
         self.wake = true;
     }
 
+    /// Replaces the report of one peer.
+    pub fn update_peer(&mut self, peer: PeerLoad, now: Millis) {
+        self.advance(now);
+        self.peers.update(peer, now);
+    }
+
     /// Decides on a new request.
     pub fn arrive(&mut self, req: Arrival, now: Millis) -> Verdict {
         self.advance(now);
@@ -141,6 +147,7 @@
         }
         let mut tracked = Tracked::new(&req, class, now + span);
         if self.queue.is_empty()
+            && self.queue.admits(&tracked.ticket.class, self.room())
             && let Some(pick) = self.send(&mut tracked, now)
         {
             self.queue
@@ -202,6 +209,13 @@
         self.queue.expected_wait(class, team, capacity)
     }
 
+    fn room(&self) -> Room {
+        Room {
+            free: self.fleet.free(),
+            slots: self.fleet.capacity(),
+        }
+    }
+
     fn backlog(&self) -> Backlog {
         let mean = self.latency.mean().unwrap_or(INITIAL_SERVICE_MS);
         let capacity = (f64::from(self.fleet.capacity()) / mean).max(MIN_CAPACITY);
