Assign request slots to members in the endpoint's availability zone first

Change: the slots of an endpoint are split between zones so that members' totals stay equal, and dealt by rendezvous hashing within a zone. The member record keeps the zones of former members that handovers still refer to. The evenly split variant stays for views without zones.

--- a/src/membership/machine/owners.rs
+++ b/src/membership/machine/owners.rs
@@ -135,7 +135,8 @@
         }
         let at = view.position(&self.me.id);
         let within = self.in_use.iter().all(|(vm, count)| {
-            let share = at.map_or(0, |at| view.slot_shares(vm)[at]);
+            let zone = self.vms.zone_of(vm);
+            let share = at.map_or(0, |at| view.slot_shares(vm, zone)[at]);
             *count <= share
         });
         if within {
@@ -175,7 +176,7 @@
         let sums = SlotSums::new(&self.views, &self.me.id, &bounds);
         self.vms
             .endpoints()
-            .map(|vm| (vm.clone(), sums.usable_at(vm)))
+            .map(|vm| (vm.clone(), sums.usable_at(vm, self.vms.zone_of(vm))))
             .collect()
     }
 
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -15,6 +15,7 @@
 mod timing;
 mod view;
 mod vm_watch;
+mod zone_shares;
 
 pub use hash::Domain;
 pub use io::{Input, Output};
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -24,6 +24,7 @@
             epoch,
             members: Vec::new(),
             changes: Vec::new(),
+            gone_zones: BTreeMap::new(),
             writer,
         })
     }
@@ -63,24 +64,31 @@
 
     /// Returns the views of all epochs that a member may still be in, oldest first.
     pub fn views(&self) -> Vec<MemberView> {
-        let mut ids: BTreeSet<MemberId> = self
+        let mut members: BTreeMap<MemberId, ZoneId> = self
             .record
             .members
             .iter()
-            .map(|member| member.id.clone())
+            .map(|member| (member.id.clone(), member.zone.clone()))
             .collect();
-        let mut views = vec![view(self.record.epoch, &ids)];
+        let mut views = vec![MemberView::zoned(self.record.epoch, members.clone())];
         for change in self.record.changes.iter().rev() {
             for id in &change.joined {
-                ids.remove(id);
+                members.remove(id);
             }
-            ids.extend(change.removed.iter().chain(&change.left).cloned());
-            views.push(view(change.epoch.saturating_sub(Epoch(1)), &ids));
+            let gone = change.removed.iter().chain(&change.left);
+            members.extend(gone.map(|id| (id.clone(), self.gone_zone(id))));
+            let epoch = change.epoch.saturating_sub(Epoch(1));
+            views.push(MemberView::zoned(epoch, members.clone()));
         }
         views.reverse();
         views
     }
 
+    /// Returns the zone of a process that is no longer a member.
+    fn gone_zone(&self, id: &MemberId) -> ZoneId {
+        self.record.gone_zones.get(id).cloned().unwrap_or_default()
+    }
+
     /// Returns the record of the next epoch.
     pub fn next(
         &self,
@@ -98,6 +106,10 @@
             .collect();
         record.epoch = record.epoch.saturating_add(Epoch(1));
         let stays = |id: &MemberId| !removed.contains(id) && left != Some(id);
+        for member in record.members.iter().filter(|member| !stays(&member.id)) {
+            let zone = member.zone.clone();
+            record.gone_zones.insert(member.id.clone(), zone);
+        }
         record.members.retain(|member| stays(&member.id));
         record.changes.push(MemberChange {
             epoch: record.epoch,
@@ -120,10 +132,12 @@
 
     /// Drops the changes that led to epochs up to `epoch`, which no member needs any more.
     pub fn prune(&mut self, epoch: Epoch) {
-        self.record.changes.retain(|change| change.epoch > epoch);
+        let record = &mut self.record;
+        record.changes.retain(|change| change.epoch > epoch);
+        let changes = &record.changes;
+        record.gone_zones.retain(|id, _| {
+            let mut gone = changes.iter().flat_map(|c| c.removed.iter().chain(&c.left));
+            gone.any(|mentioned| mentioned == id)
+        });
     }
 }
-
-fn view(epoch: Epoch, ids: &BTreeSet<MemberId>) -> MemberView {
-    MemberView::new(epoch, ids.iter().cloned().collect())
-}
--- a/tests/members_machine.rs
+++ b/tests/members_machine.rs
@@ -30,6 +30,7 @@
             member("c", "zone-2"),
         ],
         changes: Vec::new(),
+        gone_zones: Default::default(),
         writer: id("a:1"),
     }
 }
