--- a/src/membership/machine/peers.rs
+++ b/src/membership/machine/peers.rs
@@ -51,9 +51,12 @@
     ) {
         self.hear(answer, now);
         let epoch = self.epoch();
-        if answer.epoch != epoch {
+        if answer.epoch > epoch && now >= self.next_fetch {
+            self.next_fetch = now + VIEW_INTERVAL;
             self.exchange_view(&answer.member, now, out);
-        } else if !answer.acknowledged && self.is_member() {
+        } else if answer.epoch < epoch && self.spreads_view(now) {
+            self.exchange_view(&answer.member, now, out);
+        } else if answer.epoch == epoch && !answer.acknowledged && self.is_member() {
             self.refused = Some(epoch);
         }
         let Some(peer) = self.peers.get_mut(&answer.member) else {
@@ -65,6 +68,19 @@
         }
     }
 
+    /// Tells whether this process sends its record to peers that are behind.
+    ///
+    /// At first only the writer does, because all members learn of a new epoch at about the same
+    /// time and would send it to each other.
+    fn spreads_view(&self, now: Millis) -> bool {
+        let writer = self.table.as_ref().map(|table| &table.record().writer);
+        let wrote = writer.is_some_and(|writer| {
+            let (member, _) = writer.as_str().rsplit_once(':').unwrap_or_default();
+            member == self.me.id.as_str()
+        });
+        wrote || now.since(self.adopted_at()) >= VIEW_INTERVAL
+    }
+
     fn exchange_view(&mut self, id: &MemberId, now: Millis, out: &mut Vec<Output>) {
         let Some(address) = self.address_of(id) else {
             return;
--- a/src/schema/dedup.rs
+++ b/src/schema/dedup.rs
@@ -8,12 +8,18 @@
     pub struct ConversionError(::std::borrow::Cow<'static, str>);
     impl ::std::error::Error for ConversionError {}
     impl ::std::fmt::Display for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Display::fmt(&self.0, f)
         }
     }
     impl ::std::fmt::Debug for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Debug::fmt(&self.0, f)
         }
     }
@@ -60,7 +66,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum KeyState {
     #[serde(rename = "in-progress")]
@@ -89,7 +95,9 @@
 }
 impl ::std::str::FromStr for KeyState {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "in-progress" => Ok(Self::InProgress),
             "not-run" => Ok(Self::NotRun),
@@ -101,7 +109,9 @@
 }
 impl ::std::convert::TryFrom<&str> for KeyState {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -196,7 +206,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum RecordKeyVerdict {
     #[serde(rename = "recorded")]
@@ -222,7 +232,9 @@
 }
 impl ::std::str::FromStr for RecordKeyVerdict {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "recorded" => Ok(Self::Recorded),
             "conflict" => Ok(Self::Conflict),
@@ -233,7 +245,9 @@
 }
 impl ::std::convert::TryFrom<&str> for RecordKeyVerdict {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -5,9 +5,10 @@
 #[rustfmt::skip]
 pub mod bundle;
 #[rustfmt::skip]
-pub mod peer;
 pub mod dedup;
 #[rustfmt::skip]
+pub mod peer;
+#[rustfmt::skip]
 pub mod settings;
 #[rustfmt::skip]
 pub mod vm;
