Send renewals and reads before starts

Several starts that a worker refused because of an old clock reading were sent again in turn and left no command for the read that would renew it, nor for lease renewals. The random sequences found this.

--- a/src/placement/agents.rs
+++ b/src/placement/agents.rs
@@ -192,11 +192,13 @@
         book.retry_at = now + RETRY;
         return Some(AgentCommand::Read);
     }
-    acknowledge(book, epoch)
+    // Renewals and reads come first: they are bounded in number, and starts that are refused
+    // because of an old reading of the worker's clock need a new one.
+    renew(book, epoch, now)
+        .or_else(|| acknowledge(book, epoch))
         .or_else(|| stop(book, epoch, now))
         .or_else(|| start(book, epoch, now))
         .or_else(|| throttle(book, epoch))
-        .or_else(|| renew(book, epoch, now))
 }
 
 fn acknowledge(book: &mut WorkerBook, epoch: Epoch) -> Option<AgentCommand> {
--- a/tests/batch_leases.rs
+++ b/tests/batch_leases.rs
@@ -10,7 +10,7 @@
 use sapphirecroft::prelude::*;
 use sapphirecroft::schema::batch::{AttemptState, EndKind, Place, RackCall, StartAttempt};
 use sapphirecroft::schema::vm::VmRecord;
-use sapphirecroft::schema::worker::{AgentReply, TaskPhase, TaskReport, WorkerState};
+use sapphirecroft::schema::worker::{AgentRefusal, AgentReply, TaskPhase, TaskReport, WorkerState};
 
 /// 15 s of lease on a clock that may be 10% slow, and 1 s of margin.
 const CERTAIN: Millis = Millis(17_500);
@@ -69,9 +69,8 @@
     }
 }
 
-/// Asks for the state of the attempt as its job owner does.
-fn ask(owner: &mut RackOwner, now: Millis) -> AttemptState {
-    let call = RackCall {
+fn start_call(owner: &RackOwner) -> RackCall {
+    RackCall {
         epoch: owner.epoch(),
         from: id("m1"),
         release: Vec::new(),
@@ -90,7 +89,12 @@
         reserve: Vec::new(),
         blame: Vec::new(),
         teams: Vec::new(),
-    };
+    }
+}
+
+/// Asks for the state of the attempt as its job owner does.
+fn ask(owner: &mut RackOwner, now: Millis) -> AttemptState {
+    let call = start_call(owner);
     owner.handle(&call, now).status[0].state.clone()
 }
 
@@ -162,3 +166,33 @@
 
     assert_eq!(ask(&mut owner, gone), AttemptState::Running);
 }
+
+/// Guards against starts that are refused for ever because they crowd out the reading of the
+/// worker's clock that they need.
+#[test]
+fn refused_starts_do_not_crowd_out_reads_and_renewals() {
+    let mut owner = owner(&view());
+    claim(&mut owner, Millis(1000));
+    let mut call = start_call(&owner);
+    let first = call.start[0].clone();
+    call.start = (1..7)
+        .map(|index| StartAttempt {
+            task: task_id(&job_id(0, 1), index),
+            ..first.clone()
+        })
+        .collect();
+    owner.handle(&call, Millis(1000));
+
+    let mut reads = 0;
+    for step in 0..40 {
+        let now = Millis(1000 + step * 100);
+        for work in owner.agent_work(now) {
+            let start = matches!(work.command, AgentCommand::Start(_));
+            reads += u32::from(!start);
+            let reply = start.then_some(AgentReply::Refused(AgentRefusal::LeaseEnded));
+            owner.agent_answered(&work.worker, work.number, reply, now);
+        }
+    }
+
+    assert!(reads > 0);
+}
