--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -13,8 +13,6 @@
 #[rustfmt::skip]
 pub mod drain;
 #[rustfmt::skip]
-pub mod dedup;
-#[rustfmt::skip]
 pub mod peer;
 #[rustfmt::skip]
 pub mod settings;
