--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -155,6 +155,13 @@
         u32::try_from(ejected.count()).unwrap_or(u32::MAX)
     }
 
+    /// Tells whether another endpoint than `vm` takes requests, be it ejected or not.
+    pub fn has_other(&self, vm: &VmId) -> bool {
+        self.endpoints.iter().any(|endpoint| {
+            endpoint.share.vm != *vm && endpoint.share.slots > 0 && !endpoint.share.leaving
+        })
+    }
+
     /// Tells whether a usable endpoint other than `except` exists, be it busy or not.
     pub fn has_usable(&self, except: Option<&VmId>) -> bool {
         self.endpoints
--- a/src/routing/service/attempts.rs
+++ b/src/routing/service/attempts.rs
@@ -68,6 +68,10 @@
         req.may_have_run |= !outcome.is_not_run() || req.attempts.len() > 1;
         req.except = req.attempts.first().map(|attempt| attempt.vm.clone());
         self.end_attempts(&mut req, outcome, now);
+        // Silence belongs to a connection; a fresh one to the only endpoint may answer.
+        if outcome == Outcome::Silent {
+            req.except = req.except.filter(|vm| self.fleet.has_other(vm));
+        }
         let verdict = match self.refuse_resend(&req, outcome, now) {
             Some(refusal) => refusal,
             None => self.requeue(req, now),
