--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -1,5 +1,6 @@
 //! Life of batch jobs: durable states, group commit, order of start, and the node that runs them.
 
+mod answers;
 mod calls;
 mod exchange;
 mod ids;
@@ -7,6 +8,7 @@
 mod limits;
 mod node;
 mod owner;
+mod placing;
 mod refusal;
 mod requests;
 mod select;
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -341,7 +341,7 @@
     }
 
     /// Lists tasks that are durably assigned and that no prepared change concerns.
-    pub(super) fn assigned_tasks(&self) -> Vec<(TaskId, Attempt, Place, JobId, u32)> {
+    pub(super) fn assigned_tasks(&self) -> Vec<(TaskId, Attempt, Place, u32)> {
         let mut out = Vec::new();
         for shard in self.shards.values() {
             if !shard.may_act(self.epoch) {
@@ -355,7 +355,7 @@
                         .and_then(|job| job.task(task.index));
                     if next.is_some_and(|next| next.attempt == task.attempt) {
                         let id = task_id(&job.id, task.index);
-                        out.push((id, task.attempt, place.clone(), job.id.clone(), task.index));
+                        out.push((id, task.attempt, place.clone(), task.index));
                     }
                 }
             }
--- /dev/null
+++ b/src/batch/placing.rs
@@ -0,0 +1,185 @@
+//! Which waiting tasks a job owner asks rack owners to place.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::exchange::RESERVE_TIMEOUT;
+use super::ids::{split_task, task_id};
+use super::owner::JobOwner;
+use super::select::{WaitingJob, pick_tasks};
+use crate::prelude::*;
+use crate::schema::batch::{JobPhase, JobRecord, RackCall, ReserveTask};
+use crate::schema::vm::VmState;
+
+/// Tasks that are placed per round.
+const PICKS_PER_ROUND: usize = 96;
+
+impl JobOwner {
+    pub(super) fn count_use(&mut self) {
+        self.shares.clear_own();
+        for shard in self.shards.values() {
+            for job in shard.working() {
+                let team = &job.spec.team;
+                let waiting = if job.phase == JobPhase::Open {
+                    job.pending().count()
+                } else {
+                    0
+                };
+                let pending = u32::try_from(waiting).unwrap_or(u32::MAX);
+                self.shares.add_own(team, &Resources::default(), pending);
+                for _ in job.tasks.iter().filter(|task| task.place().is_some()) {
+                    self.shares.add_own(team, &job.spec.resources, 0);
+                }
+            }
+        }
+        for task in self.placing.keys() {
+            let job = split_task(task)
+                .and_then(|(shard, job, _)| self.shards.get(&shard)?.working_job(&job));
+            if let Some(job) = job {
+                self.shares.add_own(&job.spec.team, &job.spec.resources, 0);
+            }
+        }
+    }
+
+    pub(super) fn add_reserves(&mut self, calls: &mut BTreeMap<MemberId, RackCall>, now: Millis) {
+        self.placing
+            .retain(|_, asked| now.since(*asked) < RESERVE_TIMEOUT);
+        let waiting = self.waiting_jobs(now);
+        if waiting.is_empty() {
+            return;
+        }
+        let Some(bundle) = self.bundle.clone() else {
+            return;
+        };
+        let total = self.fleet.total();
+        let teams = &bundle.bundle.team;
+        let picks = pick_tasks(waiting, &mut self.shares, teams, &total, PICKS_PER_ROUND);
+        let mut room = self.room();
+        for pick in picks {
+            let Some(job) = self.find_working(&pick.job) else {
+                continue;
+            };
+            let size = job.spec.resources;
+            let reserve = ReserveTask {
+                task: task_id(&pick.job, pick.index),
+                attempt: pick.attempt,
+                resources: size,
+                kind: job.spec.kind.clone(),
+                avoid_workers: job
+                    .task(pick.index)
+                    .map(|task| task.failed_on.clone())
+                    .unwrap_or_default(),
+                avoid_zones: self.full_zones(job),
+            };
+            let Some(owner) = take_room(&mut room, &size) else {
+                self.refused(&pick.job, now);
+                continue;
+            };
+            self.placing.insert(reserve.task.clone(), now);
+            self.call_to(calls, owner).reserve.push(reserve);
+        }
+    }
+
+    fn find_working(&self, id: &JobId) -> Option<&JobRecord> {
+        self.shards.values().find_map(|shard| shard.working_job(id))
+    }
+
+    fn waiting_jobs(&self, now: Millis) -> Vec<WaitingJob> {
+        let Some(bundle) = &self.bundle else {
+            return Vec::new();
+        };
+        let mut waiting = Vec::new();
+        for shard in self
+            .shards
+            .values()
+            .filter(|shard| shard.accepts(self.epoch))
+        {
+            for job in shard
+                .working()
+                .iter()
+                .filter(|job| job.phase == JobPhase::Open)
+            {
+                let wait = self.waits.get(&job.id).copied().unwrap_or_default();
+                // Only durable jobs are placed; the working copy tells which tasks still wait.
+                let durable = shard
+                    .durable_job(&job.id)
+                    .is_some_and(|job| job.phase == JobPhase::Open);
+                let Some(class) = bundle.bundle.batch_class.get(&job.spec.class) else {
+                    continue;
+                };
+                if !durable || now < wait.retry_at {
+                    continue;
+                }
+                let tasks: Vec<(u32, Attempt)> = job
+                    .pending()
+                    .filter(|(index, _)| !self.placing.contains_key(&task_id(&job.id, *index)))
+                    .take(PICKS_PER_ROUND)
+                    .collect();
+                if tasks.is_empty() {
+                    continue;
+                }
+                let since = job.submitted.max(wait.served_at);
+                waiting.push(WaitingJob {
+                    job: job.id.clone(),
+                    team: job.spec.team.clone(),
+                    priority: class.priority,
+                    since,
+                    overdue: now.since(since) >= class.max_wait_ms,
+                    size: job.spec.resources,
+                    tasks,
+                });
+            }
+        }
+        waiting
+    }
+
+    /// Returns rack owners with the capacity that they last reported.
+    fn room(&self) -> Vec<(MemberId, Option<Resources>, Resources)> {
+        self.rack_owners()
+            .into_iter()
+            .map(|owner| match self.digests.get(&owner) {
+                Some(digest) => (owner, Some(digest.largest), digest.free),
+                None => (owner, None, Resources::default()),
+            })
+            .collect()
+    }
+
+    pub(super) fn rack_owners(&self) -> BTreeSet<MemberId> {
+        self.fleet
+            .workers()
+            .filter(|vm| vm.state == VmState::Live)
+            .filter_map(|vm| self.ownership.rack_owner(&vm.rack))
+            .collect()
+    }
+
+    /// Returns the availability zones that hold their part of a job that must be spread.
+    fn full_zones(&self, job: &JobRecord) -> Vec<ZoneId> {
+        let Some(spread) = job.spec.zone_spread.filter(|spread| *spread > 1) else {
+            return Vec::new();
+        };
+        let limit = job.spec.tasks.div_ceil(spread);
+        let mut counts: BTreeMap<&ZoneId, u32> = BTreeMap::new();
+        for place in job.tasks.iter().filter_map(|task| task.place()) {
+            if let Some(zone) = self.fleet.zone(&place.rack) {
+                *counts.entry(zone).or_default() += 1;
+            }
+        }
+        counts
+            .into_iter()
+            .filter(|(_, count)| *count >= limit)
+            .map(|(zone, _)| zone.clone())
+            .collect()
+    }
+}
+
+/// Picks the rack owner with most free processors that can hold the task.
+fn take_room(
+    room: &mut [(MemberId, Option<Resources>, Resources)],
+    size: &Resources,
+) -> Option<MemberId> {
+    let best = room
+        .iter_mut()
+        .filter(|(_, largest, _)| largest.is_none_or(|largest| size.fits(&largest)))
+        .max_by_key(|(_, _, free)| free.cpu)?;
+    best.2 = best.2.saturating_sub(size);
+    Some(best.0.clone())
+}
