--- a/tests/members_relay.rs
+++ b/tests/members_machine.rs
@@ -1,4 +1,4 @@
-//! What one membership machine tells another one.
+//! One membership machine, and what it tells another one.
 
 use sapphirecroft::membership::{Input, Membership, Output, Timing};
 use sapphirecroft::prelude::*;
@@ -30,6 +30,7 @@
             member("c", "zone-2"),
         ],
         changes: Vec::new(),
+        gone_zones: Default::default(),
         writer: id("a:1"),
     }
 }
@@ -145,3 +146,91 @@
     });
     beat.expect("a heartbeat is due")
 }
+
+/// A member whose store lease was granted by a call that was sent at `NOW`.
+fn leased(answered: Millis) -> Membership {
+    let mut machine = machine("a");
+    machine.step(Input::VmsRead(Vec::new()), NOW);
+    let outputs = machine.step(Input::Tick, NOW);
+    let grants = |output: &Output| matches!(output, Output::CreateLease(_));
+    assert!(outputs.iter().any(grants));
+    machine.step(Input::LeaseKept(NOW), answered);
+    // The first grant came after the record was learned from a peer, so it needs a new epoch.
+    let read = Input::RecordRead {
+        started: answered,
+        record: Some((record(), Revision(7))),
+        entries: vec![member("a", "zone-1")],
+    };
+    machine.step(read, answered);
+    machine.step(Input::RecordWritten, answered);
+    assert_eq!(machine.epoch(), Epoch(2));
+    machine
+}
+
+/// Guards against a lease that is counted from its answer, or longer than any clock allows.
+#[test]
+fn lease_counts_from_before_its_renewal_with_an_allowance() {
+    let machine = leased(NOW + Millis(900));
+
+    assert!(machine.is_active(NOW + Millis(3300)));
+    assert!(!machine.is_active(NOW + Millis(4000 * 10 / 11 - 300)));
+}
+
+/// Guards against acknowledgements that were given for another set of members.
+#[test]
+fn acknowledgements_count_in_their_epoch_only() {
+    let later = NOW + Millis(5000);
+    for (epoch, active) in [(Epoch(2), true), (Epoch(1), false), (Epoch(3), false)] {
+        let mut machine = leased(NOW);
+        machine.step(Input::Tick, later);
+        machine.step(Input::LeaseFailed, later);
+        let mut answer = beat(&mut self::machine("b"), "a:7101", later);
+        answer.epoch = epoch;
+
+        machine.step(Input::Answered(later, answer), later);
+
+        assert_eq!(machine.is_active(later), active, "epoch {epoch}");
+        assert!(!machine.is_active(later + Millis(2500)), "it ends");
+    }
+}
+
+/// Guards against a removal that relies on a lapse read before the reports, when the member could
+/// still be granted its lease again.
+#[test]
+fn removal_needs_a_lapse_that_was_read_after_the_reports() {
+    let silent = NOW + Millis(4500);
+    let reported = silent + Millis(100);
+    let cases = [
+        (silent + Millis(50), vec!["a", "b"], false),
+        (silent + Millis(200), vec!["a", "b", "c"], false),
+        (silent + Millis(200), vec!["a", "b"], true),
+    ];
+    for (started, live, removes) in cases {
+        let mut machine = leased(NOW);
+        let mut of_b = beat(&mut self::machine("b"), "a:7101", NOW);
+        machine.step(Input::Tick, silent);
+        machine.step(read(&machine, silent, &["a", "b"]), silent);
+        of_b.epoch = machine.epoch();
+        of_b.silent = vec![id("c")];
+        machine.receive(&of_b, reported);
+
+        let now = silent + Millis(300);
+        let outputs = machine.step(read(&machine, started, &live), now);
+
+        let written = outputs.iter().find_map(|output| match output {
+            Output::WriteRecord(_, record) => record.changes.last(),
+            _ => None,
+        });
+        let removed = written.map(|change| change.removed.clone());
+        assert_eq!(removed, removes.then(|| vec![id("c")]), "{live:?}");
+    }
+}
+
+fn read(machine: &Membership, started: Millis, live: &[&str]) -> Input {
+    let record = machine.table().map(|table| table.record().clone());
+    Input::RecordRead {
+        started,
+        record: record.map(|record| (record, Revision(8))),
+        entries: live.iter().map(|name| member(name, "zone-1")).collect(),
+    }
+}
