--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -56,6 +56,7 @@
     pub(super) ownership: Arc<dyn Ownership>,
     pub(super) epoch: Epoch,
     pub(super) store_calls: u64,
+    pub(super) turn: u64,
     pub(super) shards: BTreeMap<u32, JobShard>,
     pub(super) fleet: Arc<Fleet>,
     pub(super) bundle: Option<Arc<BundleInForce>>,
@@ -78,6 +79,7 @@
             ownership,
             epoch: Epoch(0),
             store_calls: 0,
+            turn: 0,
             shards: BTreeMap::new(),
             fleet: Arc::default(),
             bundle: None,
@@ -341,7 +343,7 @@
     }
 
     /// Lists tasks that are durably assigned and that no prepared change concerns.
-    pub(super) fn assigned_tasks(&self) -> Vec<(TaskId, Attempt, Place, JobId, u32)> {
+    pub(super) fn assigned_tasks(&self) -> Vec<(TaskId, Attempt, Place, u32)> {
         let mut out = Vec::new();
         for shard in self.shards.values() {
             if !shard.may_act(self.epoch) {
@@ -355,7 +357,7 @@
                         .and_then(|job| job.task(task.index));
                     if next.is_some_and(|next| next.attempt == task.attempt) {
                         let id = task_id(&job.id, task.index);
-                        out.push((id, task.attempt, place.clone(), job.id.clone(), task.index));
+                        out.push((id, task.attempt, place.clone(), task.index));
                     }
                 }
             }
