Report a peer's load with its answers to forwarded requests

The feed of heartbeat reports would also have replaced newer ones. Change: answers to forwarded requests carry free slots and queue delay, which are taken in and never replaced by older reports; the two peers that are compared are always different ones.

--- a/src/proxy/drive.rs
+++ b/src/proxy/drive.rs
@@ -7,6 +7,7 @@
 use super::call::Call;
 use super::head::{FORWARDED, Face, KEY_RECORDED};
 use super::metrics::End;
+use super::peer_load::take_load;
 use super::relay::{Outlet, pass_on, relay};
 use super::reply::{OUTCOME, Reply};
 use super::settle::{Settled, lost, p99, patience, settle, silent_after};
@@ -128,6 +129,9 @@
             run.await
         }
     };
+    if let Ok(won) = &result {
+        take_load(shared, &call.head.service, member, &won.head.headers);
+    }
     match result {
         Ok(won) if says_not_run(&won) => Forwarded::NotRun(Some(Box::new(won))),
         Ok(won) => Forwarded::Answered(Box::new(won)),
--- a/src/proxy/head.rs
+++ b/src/proxy/head.rs
@@ -3,6 +3,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 
+use super::peer_load::{FREE_SLOTS, QUEUE_DELAY};
 use crate::prelude::*;
 
 /// Class of the request.
@@ -160,7 +161,9 @@
 /// Removes what concerns this hop only from the headers of an answer.
 pub(super) fn strip_answer(headers: &HeaderMap, keep_own: bool) -> HeaderMap {
     strip(headers, |name| {
-        name == header::CONTENT_LENGTH || (!keep_own && name.as_str().starts_with(OWN_PREFIX))
+        let own = name.as_str().starts_with(OWN_PREFIX);
+        let for_this_hop = [FREE_SLOTS, QUEUE_DELAY].contains(&name.as_str());
+        name == header::CONTENT_LENGTH || for_this_hop || (!keep_own && own)
     })
 }
 
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod out_body;
 mod peer_face;
+mod peer_load;
 mod pool;
 mod pools;
 #[allow(clippy::module_inception)]
--- a/src/proxy/peer_face.rs
+++ b/src/proxy/peer_face.rs
@@ -5,6 +5,7 @@
 
 use super::head::Face;
 use super::keyed::{MERGE_PATH, RECORD_PATH};
+use super::peer_load::report_load;
 use super::serve::serve;
 use super::shared::Shared;
 use crate::prelude::*;
@@ -24,7 +25,12 @@
     async fn call(&self, req: WebReq) -> WebRes {
         let path = req.uri().path();
         if path.starts_with(Face::Peers.prefix()) {
-            return serve(&self.shared, req, Face::Peers).await;
+            let service = forwarded_service(path);
+            let mut res = serve(&self.shared, req, Face::Peers).await;
+            if let Some(service) = service {
+                report_load(&self.shared, &service, res.headers_mut());
+            }
+            return res;
         }
         let path = path.to_string();
         let buf = match read_body(req, MAX_MESSAGE_BYTES).await {
@@ -39,6 +45,12 @@
     }
 }
 
+/// Returns the service that the path of a forwarded request names.
+fn forwarded_service(path: &str) -> Option<ServiceId> {
+    let rest = path.strip_prefix(Face::Peers.prefix())?;
+    rest.trim_start_matches('/').split('/').next()?.parse().ok()
+}
+
 impl PeerFace {
     fn record(&self, buf: &[u8]) -> WebRes {
         let shared = &self.shared;
--- a/src/routing/dispatcher.rs
+++ b/src/routing/dispatcher.rs
@@ -77,6 +77,20 @@
         }
     }
 
+    /// Takes in the load that a listed peer reported with an answer to a forwarded request.
+    pub fn hear_peer(
+        &mut self,
+        service: &ServiceId,
+        member: &MemberId,
+        free_slots: u32,
+        queue_delay: Millis,
+        now: Millis,
+    ) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.hear_peer(member, free_slots, queue_delay, now);
+        }
+    }
+
     /// Decides on a new request.
     pub fn arrive(&mut self, req: Arrival, now: Millis) -> Verdict {
         if self.config.is_none() {
--- a/src/routing/peers.rs
+++ b/src/routing/peers.rs
@@ -59,25 +59,40 @@
 
     /// Replaces the list.
     ///
-    /// Requests that were forwarded since an unchanged report still count against it.
+    /// A report that is no newer than the one held does not replace it, and requests that were
+    /// forwarded since then still count against it.
     pub fn set(&mut self, loads: Vec<PeerLoad>, now: Millis) {
         let old = std::mem::take(&mut self.peers);
         self.peers = loads
             .into_iter()
             .map(|load| {
                 let reported = now - load.age;
-                let same =
+                let newer =
                     |peer: &&Peer| peer.load.member == load.member && peer.reported >= reported;
-                let forwarded = old.iter().find(same).map_or(0, |peer| peer.forwarded);
-                Peer {
+                let held = old.iter().find(newer).cloned();
+                held.unwrap_or(Peer {
                     load,
                     reported,
-                    forwarded,
-                }
+                    forwarded: 0,
+                })
             })
             .collect();
     }
 
+    /// Takes in the load that a listed peer reported at this moment.
+    pub fn hear(&mut self, member: &MemberId, free_slots: u32, queue_delay: Millis, now: Millis) {
+        let held = self.peers.iter().find(|peer| peer.load.member == *member);
+        let load = held.map(|peer| PeerLoad {
+            free_slots,
+            queue_delay,
+            age: Millis::ZERO,
+            ..peer.load.clone()
+        });
+        if let Some(load) = load {
+            self.update(load, now);
+        }
+    }
+
     /// Replaces the report of one peer if it is newer than the last one.
     pub fn update(&mut self, load: PeerLoad, now: Millis) {
         let reported = now - load.age;
@@ -118,8 +133,13 @@
         if candidates.is_empty() {
             return None;
         }
-        let first = candidates[rng.random_range(0..candidates.len())];
-        let second = candidates[rng.random_range(0..candidates.len())];
+        let count = candidates.len();
+        let at = rng.random_range(0..count);
+        let other = match count {
+            1 => at,
+            _ => (at + rng.random_range(1..count)) % count,
+        };
+        let (first, second) = (candidates[at], candidates[other]);
         let rank = |at: usize| {
             let peer = &self.peers[at];
             let hop = self.hop(peer);
--- a/src/routing/service/mod.rs
+++ b/src/routing/service/mod.rs
@@ -126,6 +126,18 @@
         self.peers.update(peer, now);
     }
 
+    /// Takes in the load that a listed peer reported at this moment.
+    pub fn hear_peer(
+        &mut self,
+        member: &MemberId,
+        free_slots: u32,
+        queue_delay: Millis,
+        now: Millis,
+    ) {
+        self.advance(now);
+        self.peers.hear(member, free_slots, queue_delay, now);
+    }
+
     /// Decides on a new request.
     pub fn arrive(&mut self, req: Arrival, now: Millis) -> Verdict {
         self.advance(now);
--- a/tests/proxy_keys.rs
+++ b/tests/proxy_keys.rs
@@ -198,6 +198,10 @@
     let drained = call(bare.addr, get("drained", 1, 0)).await;
 
     assert!(plain.is_whole_answer_to("plain"), "{:?}", plain.headers);
+    assert!(
+        !plain.headers.contains_key("sapphirecroft-free-slots"),
+        "load is for peers only"
+    );
     assert!(keyed.is_whole_answer_to(&key), "{keyed:?}");
     assert_eq!(drained.outcome(), "not-run", "{drained:?}");
     assert_eq!(bare.metric("sapphirecroft_forwards_total") as u64, 3);
--- a/tests/requests_choices.rs
+++ b/tests/requests_choices.rs
@@ -185,6 +185,36 @@
     assert_eq!(after, Verdict::Forward(id("idle")));
 }
 
+/// Guards against forwarding to a peer whose own answer has just said that it is full, also after
+/// an older heartbeat is repeated.
+#[test]
+fn a_report_with_an_answer_replaces_the_heartbeat() {
+    let mut dispatcher = dispatcher(0, 0);
+    let heartbeat = |name: &str| PeerLoad {
+        age: Millis(100),
+        ..peer(name, 8, 0)
+    };
+    let peers = || vec![heartbeat("full"), heartbeat("idle")];
+    dispatcher.set_peers(&service(), peers(), Millis(1000));
+
+    dispatcher.hear_peer(&service(), &id("full"), 0, Millis(500), Millis(1010));
+    dispatcher.set_peers(&service(), peers(), Millis(1010));
+    let verdicts: Vec<Verdict> = (0..40)
+        .map(|n| dispatcher.arrive(arrival(n), Millis(1020)))
+        .collect();
+
+    let to = |name: &str| {
+        let member = Verdict::Forward(id(name));
+        verdicts.iter().filter(|v| **v == member).count()
+    };
+    assert_eq!(to("full") + to("idle"), 40);
+    assert!(
+        to("full") < to("idle") / 2,
+        "{} of 40 to the full peer",
+        to("full")
+    );
+}
+
 /// Guards against a new process, which holds no slots yet, that refuses what its peers can serve.
 #[test]
 fn a_process_without_slots_forwards_to_the_shortest_queue() {
