Tell rack owners how services on their workers are slowed

Cause: nothing fed measured service slowdowns to the batch side, so throttling and eviction for services could never start in a running daemon. Change: the dispatcher reports each endpoint's latency against the usual one of its service, and the daemon passes it on with its age. Result: the new test sees more than 2x for an endpoint that answers 3x slower and less than 1.5x for the others.

--- a/src/daemon/feeder.rs
+++ b/src/daemon/feeder.rs
@@ -85,6 +85,7 @@
             self.apply_peers(&view.borrow().clone(), &peers.borrow_and_update().clone());
             self.parts.keeper.set_watcher(self.parts.node.is_watcher());
             self.empty_drained();
+            self.feed_slowdowns();
             tokio::select! {
                 () = cancel.cancelled() => return,
                 () = tokio::time::sleep(ROUND) => {}
@@ -166,6 +167,15 @@
         }
     }
 
+    /// Tells the rack owner how the services on its workers are slowed.
+    fn feed_slowdowns(&self) {
+        let now = self.parts.clock.now();
+        let measured = self.parts.dispatcher.lock().slowdowns(now);
+        for (vm, slowdown, age) in measured {
+            self.parts.batch.service_sample(&vm, slowdown, age);
+        }
+    }
+
     fn apply_view(&self, news: &ViewNews) {
         let mut applied = self.applied.lock();
         if news.epoch <= applied.epoch || news.members.is_empty() {
--- a/src/routing/dispatcher.rs
+++ b/src/routing/dispatcher.rs
@@ -191,6 +191,16 @@
         self.services.values().flat_map(Service::in_use).collect()
     }
 
+    /// Returns how much slower than usual each endpoint answers, with the age of the measurement.
+    ///
+    /// 1000 is the usual speed of the service's endpoints.
+    pub fn slowdowns(&self, now: Millis) -> Vec<(VmId, Permille, Millis)> {
+        let services = self.services.values();
+        services
+            .flat_map(|service| service.slowdowns(now))
+            .collect()
+    }
+
     /// Returns the load of a service.
     pub fn load(&self, service: &ServiceId) -> ServiceLoad {
         self.services
--- a/src/routing/endpoint.rs
+++ b/src/routing/endpoint.rs
@@ -56,6 +56,11 @@
         self.limit.set_slots(0);
     }
 
+    /// Returns the logarithm of the measured latency in milliseconds and when it was measured.
+    pub fn measured(&self) -> Option<(f64, Millis)> {
+        self.log_latency.map(|log| (log, self.sampled))
+    }
+
     /// Returns the number of requests in progress.
     pub fn in_progress(&self) -> u32 {
         u32::try_from(self.started.len()).unwrap_or(u32::MAX)
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -29,6 +29,9 @@
     pub probe: bool,
 }
 
+/// Largest slowdown that is reported, in thousandths.
+const MAX_SLOWDOWN: f64 = 5000.0;
+
 /// Endpoints of a service with the slots that this process holds there.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -149,6 +152,17 @@
             .map(|endpoint| (endpoint.share.vm.clone(), endpoint.in_progress()))
     }
 
+    /// Returns how much slower than usual each endpoint answers; 1000 is the usual speed.
+    pub fn slowdowns(&self, now: Millis) -> impl Iterator<Item = (VmId, Permille, Millis)> {
+        self.endpoints.iter().filter_map(move |endpoint| {
+            let (log_latency, sampled) = endpoint.measured()?;
+            let ratio = (log_latency - self.log_typical).exp();
+            let slowdown = (ratio * 1000.0).clamp(1000.0, MAX_SLOWDOWN);
+            let age = now.since(sampled);
+            Some((endpoint.share.vm.clone(), Permille(slowdown as u32), age))
+        })
+    }
+
     /// Returns the number of ejected endpoints.
     pub fn ejected(&self) -> u32 {
         let ejected = self.members().filter(|e| e.health.is_ejected());
--- a/src/routing/service/mod.rs
+++ b/src/routing/service/mod.rs
@@ -175,6 +175,11 @@
         self.fleet.in_use()
     }
 
+    /// Returns how much slower than usual each endpoint answers; 1000 is the usual speed.
+    pub fn slowdowns(&self, now: Millis) -> impl Iterator<Item = (VmId, Permille, Millis)> {
+        self.fleet.slowdowns(now)
+    }
+
     /// Returns the load for heartbeats and metrics.
     pub fn load(&self) -> ServiceLoad {
         let free_slots = self.fleet.free();
--- a/tests/requests_choices.rs
+++ b/tests/requests_choices.rs
@@ -39,6 +39,29 @@
     pick.vm
 }
 
+/// Guards against interference that the rack owner is never told of.
+#[test]
+fn a_slow_endpoint_shows_its_slowdown() {
+    let mut dispatcher = dispatcher(3, 2);
+    let latency = |vm: &VmId| if *vm == id("vm-0") { 300 } else { 100 };
+
+    (0..300).for_each(|n| {
+        drop(exchange(&mut dispatcher, arrival(n), NOW, |pick| {
+            success(latency(pick))
+        }));
+    });
+
+    let slowdowns = dispatcher.slowdowns(NOW);
+    let of = |name: &str| {
+        slowdowns
+            .iter()
+            .find(|(vm, ..)| *vm == id(name))
+            .map(|found| found.1)
+    };
+    assert!(of("vm-0") > Some(Permille(2000)), "{slowdowns:?}");
+    assert!(of("vm-1") < Some(Permille(1500)), "{slowdowns:?}");
+}
+
 /// Guards against an endpoint that is avoided for good after a slow phase.
 #[test]
 fn a_slow_endpoint_is_tried_again() {
