--- a/src/dev/installation.rs
+++ b/src/dev/installation.rs
@@ -140,7 +140,8 @@
         }
     }
 
-    async fn call_entry(
+    /// Calls the administration API of one entry process as an operator.
+    pub async fn call_entry(
         &self,
         addr: &Address,
         path: &str,
