Revert "Assign request slots to members in the endpoint's availability zone first"

Ruled out: an unknown zone of an endpoint while slots are drained (treated as no share, same failure) and missing zones of former members (none seen in the failing history).

--- a/src/bench/control/cost.rs
+++ b/src/bench/control/cost.rs
@@ -118,13 +118,10 @@
 }
 
 fn recompute_millis(members: usize, endpoints: usize, handover: bool) -> f64 {
-    let zoned = |from: usize| {
-        let members = (from..members).map(member);
-        members.map(|member| (member.id, member.zone)).collect()
-    };
+    let ids = |from: usize| (from..members).map(|at| member(at).id).collect();
     let views = [
-        MemberView::zoned(Epoch(1), zoned(0)),
-        MemberView::zoned(Epoch(2), zoned(1)),
+        MemberView::new(Epoch(1), ids(0)),
+        MemberView::new(Epoch(2), ids(1)),
     ];
     let from = if handover { Epoch(1) } else { Epoch(2) };
     let bounds: Vec<Bound> = (0..members)
@@ -134,14 +131,11 @@
             from,
         })
         .collect();
-    let vms: Vec<VmRecord> = (0..endpoints).map(endpoint).collect();
+    let vms: Vec<VmId> = (0..endpoints).map(|at| endpoint(at).vm).collect();
     let start = Instant::now();
     for _ in 0..RECOMPUTATIONS {
         let sums = SlotSums::new(&views, &member(1).id, &bounds);
-        let total: u32 = vms
-            .iter()
-            .map(|vm| sums.usable_at(&vm.vm, Some(&vm.zone)))
-            .sum();
+        let total: u32 = vms.iter().map(|vm| sums.usable_at(vm)).sum();
         black_box(total);
     }
     start.elapsed().as_secs_f64() * 1e3 / f64::from(RECOMPUTATIONS)
@@ -188,7 +182,6 @@
         epoch: Epoch(4000),
         members: (0..members).map(member).collect(),
         changes: Vec::new(),
-        gone_zones: Default::default(),
         writer: name("entry-0:1"),
     }
 }
--- a/src/membership/machine/owners.rs
+++ b/src/membership/machine/owners.rs
@@ -135,8 +135,7 @@
         }
         let at = view.position(&self.me.id);
         let within = self.in_use.iter().all(|(vm, count)| {
-            let zone = self.vms.zone_of(vm);
-            let share = at.map_or(0, |at| view.slot_shares(vm, zone)[at]);
+            let share = at.map_or(0, |at| view.slot_shares(vm)[at]);
             *count <= share
         });
         if within {
@@ -176,7 +175,7 @@
         let sums = SlotSums::new(&self.views, &self.me.id, &bounds);
         self.vms
             .endpoints()
-            .map(|vm| (vm.clone(), sums.usable_at(vm, self.vms.zone_of(vm))))
+            .map(|vm| (vm.clone(), sums.usable_at(vm)))
             .collect()
     }
 
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -15,7 +15,6 @@
 mod timing;
 mod view;
 mod vm_watch;
-mod zone_shares;
 
 pub use hash::Domain;
 pub use io::{Input, Output};
--- a/src/membership/slots.rs
+++ b/src/membership/slots.rs
@@ -1,6 +1,7 @@
 //! How many request slots of an endpoint a member may use without exceeding the endpoint's limit.
 
 use super::MemberView;
+use super::hash::{Domain, item_key};
 use super::view::SLOTS_PER_ENDPOINT;
 use crate::prelude::*;
 
@@ -73,13 +74,14 @@
         }
     }
 
-    /// Returns the usable slots of an endpoint in an availability zone.
-    pub fn usable_at(&self, vm: &VmId, zone: Option<&ZoneId>) -> u32 {
-        let shares: Vec<Vec<u32>> = self
-            .views
-            .iter()
-            .map(|view| view.slot_shares(vm, zone))
-            .collect();
+    /// Returns the usable slots of an endpoint.
+    pub fn usable_at(&self, vm: &VmId) -> u32 {
+        self.usable(item_key(Domain::Slot, vm.as_str()))
+    }
+
+    /// Returns the usable slots of the endpoint with a hash.
+    fn usable(&self, item: u64) -> u32 {
+        let shares: Vec<Vec<u32>> = self.views.iter().map(|view| view.shares_of(item)).collect();
         let Some(own) = self.me.zip(shares.last()).map(|(at, last)| last[at]) else {
             return 0;
         };
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -24,7 +24,6 @@
             epoch,
             members: Vec::new(),
             changes: Vec::new(),
-            gone_zones: BTreeMap::new(),
             writer,
         })
     }
@@ -64,31 +63,24 @@
 
     /// Returns the views of all epochs that a member may still be in, oldest first.
     pub fn views(&self) -> Vec<MemberView> {
-        let mut members: BTreeMap<MemberId, ZoneId> = self
+        let mut ids: BTreeSet<MemberId> = self
             .record
             .members
             .iter()
-            .map(|member| (member.id.clone(), member.zone.clone()))
+            .map(|member| member.id.clone())
             .collect();
-        let mut views = vec![MemberView::zoned(self.record.epoch, members.clone())];
+        let mut views = vec![view(self.record.epoch, &ids)];
         for change in self.record.changes.iter().rev() {
             for id in &change.joined {
-                members.remove(id);
+                ids.remove(id);
             }
-            let gone = change.removed.iter().chain(&change.left);
-            members.extend(gone.map(|id| (id.clone(), self.gone_zone(id))));
-            let epoch = change.epoch.saturating_sub(Epoch(1));
-            views.push(MemberView::zoned(epoch, members.clone()));
+            ids.extend(change.removed.iter().chain(&change.left).cloned());
+            views.push(view(change.epoch.saturating_sub(Epoch(1)), &ids));
         }
         views.reverse();
         views
     }
 
-    /// Returns the zone of a process that is no longer a member.
-    fn gone_zone(&self, id: &MemberId) -> ZoneId {
-        self.record.gone_zones.get(id).cloned().unwrap_or_default()
-    }
-
     /// Returns the record of the next epoch.
     pub fn next(
         &self,
@@ -106,10 +98,6 @@
             .collect();
         record.epoch = record.epoch.saturating_add(Epoch(1));
         let stays = |id: &MemberId| !removed.contains(id) && left != Some(id);
-        for member in record.members.iter().filter(|member| !stays(&member.id)) {
-            let zone = member.zone.clone();
-            record.gone_zones.insert(member.id.clone(), zone);
-        }
         record.members.retain(|member| stays(&member.id));
         record.changes.push(MemberChange {
             epoch: record.epoch,
@@ -132,12 +120,10 @@
 
     /// Drops the changes that led to epochs up to `epoch`, which no member needs any more.
     pub fn prune(&mut self, epoch: Epoch) {
-        let record = &mut self.record;
-        record.changes.retain(|change| change.epoch > epoch);
-        let changes = &record.changes;
-        record.gone_zones.retain(|id, _| {
-            let mut gone = changes.iter().flat_map(|c| c.removed.iter().chain(&c.left));
-            gone.any(|mentioned| mentioned == id)
-        });
+        self.record.changes.retain(|change| change.epoch > epoch);
     }
 }
+
+fn view(epoch: Epoch, ids: &BTreeSet<MemberId>) -> MemberView {
+    MemberView::new(epoch, ids.iter().cloned().collect())
+}
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -1,9 +1,6 @@
 //! Who belongs to a region in one epoch, and what follows from it.
 
-use std::collections::BTreeMap;
-
 use super::hash::{Domain, item_key, member_key, top, winner};
-use super::zone_shares::ZoneMembers;
 use crate::prelude::*;
 
 /// Request slots of an endpoint, over all entry processes together.
@@ -15,31 +12,15 @@
     epoch: Epoch,
     ids: Vec<MemberId>,
     keys: Vec<u64>,
-    zones: ZoneMembers,
 }
 
 impl MemberView {
-    /// Builds the view of an epoch from its members in any order, without their zones.
+    /// Builds the view of an epoch from its members in any order.
     pub fn new(epoch: Epoch, mut ids: Vec<MemberId>) -> Self {
         ids.sort();
         ids.dedup();
         let keys = ids.iter().map(|id| member_key(id.as_str())).collect();
-        let zones = ZoneMembers::default();
-        Self {
-            epoch,
-            ids,
-            keys,
-            zones,
-        }
-    }
-
-    /// Builds the view of an epoch from its members and their availability zones.
-    pub fn zoned(epoch: Epoch, members: BTreeMap<MemberId, ZoneId>) -> Self {
-        let (ids, zones): (Vec<_>, Vec<_>) = members.into_iter().unzip();
-        Self {
-            zones: ZoneMembers::new(zones.into_iter()),
-            ..Self::new(epoch, ids)
-        }
+        Self { epoch, ids, keys }
     }
 
     /// Returns the epoch.
@@ -87,41 +68,27 @@
 
     /// Returns how many slots of an endpoint each member holds, in the order of ids.
     ///
-    /// An endpoint's slots depend on nothing but the view and the endpoint's zone, which never
-    /// changes, so processes whose VM lists differ still agree. Slots go to members of that zone
-    /// first; without a zone, or if no member is there, each member gets the same number.
-    pub fn slot_shares(&self, vm: &VmId, zone: Option<&ZoneId>) -> Vec<u32> {
-        let item = item_key(Domain::Slot, vm.as_str());
-        let mut shares = vec![0; self.keys.len()];
-        let split = zone.and_then(|zone| self.zones.split(zone, item));
-        match split {
-            Some(split) => {
-                for (places, slots) in split {
-                    self.deal(item, places, slots, &mut shares);
-                }
-            }
-            None => {
-                let all: Vec<usize> = (0..self.keys.len()).collect();
-                self.deal(item, &all, SLOTS_PER_ENDPOINT, &mut shares);
-            }
-        }
-        shares
+    /// An endpoint's slots depend on nothing but the view, so processes whose VM lists differ
+    /// still agree. Each member gets the same number, and the best ones share the rest.
+    pub fn slot_shares(&self, vm: &VmId) -> Vec<u32> {
+        self.shares_of(item_key(Domain::Slot, vm.as_str()))
     }
 
-    /// Gives each of the members at `places` the same number, and the rest to the best ones.
-    fn deal(&self, item: u64, places: &[usize], slots: u32, shares: &mut [u32]) {
-        let Some(count) = u32::try_from(places.len()).ok().filter(|count| *count > 0) else {
-            return;
+    /// Returns the slots of the endpoint with a hash, see [`Self::slot_shares`].
+    pub(super) fn shares_of(&self, item: u64) -> Vec<u32> {
+        let Ok(count) = u32::try_from(self.keys.len()) else {
+            return Vec::new();
         };
-        for place in places {
-            shares[*place] = slots / count;
+        if count == 0 {
+            return Vec::new();
         }
-        let rest = (slots % count) as usize;
+        let mut shares = vec![SLOTS_PER_ENDPOINT / count; self.keys.len()];
+        let rest = (SLOTS_PER_ENDPOINT % count) as usize;
         if rest > 0 {
-            let keys: Vec<u64> = places.iter().map(|place| self.keys[*place]).collect();
-            for at in top(item, &keys, rest) {
-                shares[places[at]] += 1;
+            for at in top(item, &self.keys, rest) {
+                shares[at] += 1;
             }
         }
+        shares
     }
 }
--- a/src/membership/vm_watch.rs
+++ b/src/membership/vm_watch.rs
@@ -93,11 +93,6 @@
         !self.read || (!self.vms.contains_key(vm) && !self.entries(region).is_empty())
     }
 
-    /// Returns the availability zone of a VM that the list shows.
-    pub fn zone_of(&self, vm: &VmId) -> Option<&ZoneId> {
-        self.vms.get(vm).map(|record| &record.zone)
-    }
-
     /// Returns the VMs that serve requests.
     pub fn endpoints(&self) -> impl Iterator<Item = &VmId> {
         self.vms
--- a/src/schema/peer.rs
+++ b/src/schema/peer.rs
@@ -111,15 +111,6 @@
 pub struct MemberRecord {
     pub changes: ::std::vec::Vec<MemberChange>,
     pub epoch: crate::model::Epoch,
-    ///Availability zones of former members that changes mention.
-    #[serde(
-        default,
-        skip_serializing_if = ":: std :: collections :: BTreeMap::is_empty"
-    )]
-    pub gone_zones: ::std::collections::BTreeMap<
-        crate::model::MemberId,
-        crate::model::ZoneId,
-    >,
     pub members: ::std::vec::Vec<Member>,
     ///Identifies the last write, so that a lost answer can be resolved.
     pub writer: crate::model::WriterToken,
--- a/tests/members_machine.rs
+++ b/tests/members_machine.rs
@@ -30,7 +30,6 @@
             member("c", "zone-2"),
         ],
         changes: Vec::new(),
-        gone_zones: Default::default(),
         writer: id("a:1"),
     }
 }
--- a/tests/members_slots.rs
+++ b/tests/members_slots.rs
@@ -26,7 +26,7 @@
         let view = view(1, bits(set));
 
         for at in 0..30 {
-            let shares = view.slot_shares(&endpoint(at), None);
+            let shares = view.slot_shares(&endpoint(at));
 
             assert_eq!(shares.iter().sum::<u32>(), SLOTS_PER_ENDPOINT, "{set:b}");
             let spread = shares.iter().max().zip(shares.iter().min());
@@ -55,7 +55,7 @@
 
 /// Sums up what may be used when the members in `adopted` have drained to the second view.
 fn used(views: &[MemberView; 2], adopted: u32, vm: &VmId) -> u32 {
-    let old = views[0].slot_shares(vm, None);
+    let old = views[0].slot_shares(vm);
     (0..8)
         .map(|me| {
             if adopted & (1 << me) == 0 {
@@ -68,7 +68,7 @@
                     from: Epoch(1 + u64::from(adopted >> at & 1)),
                 })
                 .collect();
-            SlotSums::new(views, &member(me), &bounds).usable_at(vm, None)
+            SlotSums::new(views, &member(me), &bounds).usable_at(vm)
         })
         .sum()
 }
@@ -83,8 +83,8 @@
     let mut moved = 0;
 
     for at in 0..1000 {
-        let old = before.slot_shares(&endpoint(at), None);
-        let new = after.slot_shares(&endpoint(at), None);
+        let old = before.slot_shares(&endpoint(at));
+        let new = after.slot_shares(&endpoint(at));
         for (place, id) in before.ids().iter().enumerate() {
             totals[place] += old[place];
             let now = after.position(id).map_or(0, |place| new[place]);
