--- a/src/daemon/key_snapshot.rs
+++ b/src/daemon/key_snapshot.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::dedup::KeyView;
-use crate::membership::{Domain, MemberView};
+use crate::membership::MemberView;
 use crate::peer::ViewNews;
 use crate::prelude::*;
 
@@ -42,15 +42,6 @@
     }
 
     fn holders(&self, key: &str) -> Vec<MemberId> {
-        let ranked = self.view.best(Domain::Key, key, self.view.ids().len());
-        let Some((home, rest)) = ranked.split_first() else {
-            return Vec::new();
-        };
-        let zone = |id: &MemberId| self.zones.get(id);
-        let other_zone = rest.iter().find(|id| zone(id) != zone(home));
-        std::iter::once(home)
-            .chain(other_zone.or(rest.first()))
-            .map(|id| (*id).clone())
-            .collect()
+        self.view.key_holders(key, |id| self.zones.get(id))
     }
 }
--- a/src/membership/machine/owners.rs
+++ b/src/membership/machine/owners.rs
@@ -57,19 +57,7 @@
         let (Some(view), Some(table)) = (self.view(), &self.table) else {
             return Vec::new();
         };
-        let zone = |id: &MemberId| table.member(id).map(|member| member.zone.clone());
-        let ranked = view.best(Domain::Key, key, view.ids().len());
-        let Some((home, rest)) = ranked.split_first() else {
-            return Vec::new();
-        };
-        let backup = rest
-            .iter()
-            .find(|id| zone(id) != zone(home))
-            .or(rest.first());
-        std::iter::once(home)
-            .chain(backup)
-            .map(|id| (*id).clone())
-            .collect()
+        view.key_holders(key, |id| table.member(id).map(|member| &member.zone))
     }
 
     /// Tells whether this process is one of the members that hold a watch on the store.
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -66,6 +66,23 @@
             .collect()
     }
 
+    /// Returns the home member of a key, then its backup, in another zone if there is one.
+    pub fn key_holders<'a>(
+        &self,
+        key: &str,
+        zone: impl Fn(&MemberId) -> Option<&'a ZoneId>,
+    ) -> Vec<MemberId> {
+        let ranked = self.best(Domain::Key, key, self.ids.len());
+        let Some((home, rest)) = ranked.split_first() else {
+            return Vec::new();
+        };
+        let other_zone = rest.iter().find(|id| zone(id) != zone(home));
+        std::iter::once(home)
+            .chain(other_zone.or(rest.first()))
+            .map(|id| (*id).clone())
+            .collect()
+    }
+
     /// Returns how many slots of an endpoint each member holds, in the order of ids.
     ///
     /// An endpoint's slots depend on nothing but the view, so processes whose VM lists differ
