--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -16,7 +16,7 @@
 use serde_json::Value;
 
 /// Every level that has a help text.
-const LEVELS: [&str; 23] = [
+const LEVELS: [&str; 41] = [
     "",
     "check",
     "check settings",
@@ -40,6 +40,24 @@
     "audit list",
     "audit show",
     "audit verify",
+    "serve",
+    "dev",
+    "job",
+    "job submit",
+    "job show",
+    "job list",
+    "job cancel",
+    "status",
+    "workers",
+    "endpoints",
+    "peers",
+    "drain",
+    "undrain",
+    "bench",
+    "bench requests",
+    "bench placement",
+    "bench control",
+    "bench path",
 ];
 
 /// A folder for keys and files that goes away with the test.
