--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -8,28 +8,22 @@
 use tokio::runtime::Handle;
 use tokio::time::Instant;
 
-use super::daemon_metrics::DaemonMetrics;
-use super::drain_calls::DrainCalls;
+use super::faces::Faces;
 use super::feeder::{Feeder, FeederParts};
-use super::health::Health;
-use super::job_calls::JobCalls;
 use super::local::Local;
-use super::status_calls::StatusCalls;
-use crate::admin::{ADMIN_PREFIX, AdminService};
-use crate::audit::AuditTrail;
-use crate::batch::{BatchNode, BatchParts, BatchService, PEER_PATH, PeerCalls};
-use crate::bundle::{ActiveBundle, BundleDesk, BundleKeeper, Trust};
+use crate::batch::{BatchNode, BatchParts, PeerCalls};
+use crate::bundle::{ActiveBundle, BundleKeeper, Trust};
 use crate::drain::DrainDesk;
 use crate::membership::{Ownership, Timing};
-use crate::peer::{MemberNode, NodeConfig, PeerService};
-use crate::platform::{HttpAgent, HttpStore, HttpVmList, Store, wall_clock};
+use crate::peer::{MemberNode, NodeConfig};
+use crate::platform::{HttpAgent, HttpStore, HttpVmList, Store};
 use crate::prelude::*;
 use crate::proxy::{Clock, Proxy, ProxyConfig, ProxyMetrics};
 use crate::records::Records;
 use crate::routing::Dispatcher;
 use crate::schema::peer::Member;
 use crate::schema::settings::Settings;
-use crate::web::{Caller, Routes, Server};
+use crate::web::{Caller, Server};
 
 /// Worker threads of the callers' and the peers' server.
 const REQUEST_THREADS: usize = 2;
@@ -130,39 +124,18 @@
         let followed = (keeper.clone(), store.clone(), background.clone());
         tokio::spawn(async move { followed.0.run(followed.1, followed.2).await });
 
-        let audit = Arc::new(AuditTrail::new(records.clone(), wall_clock()));
-        let desk = BundleDesk::new(records, trust, audit.clone(), keeper.clone(), wall_clock());
-        let admin_service = AdminService::new(Arc::new(desk), keeper.clone())
-            .extend(Arc::new(JobCalls {
-                batch: batch.clone(),
-                audit: audit.clone(),
-            }))
-            .extend(Arc::new(DrainCalls {
-                desk: drains,
-                audit,
-            }))
-            .extend(Arc::new(StatusCalls {
-                node: node.clone(),
-                keeper: keeper.clone(),
-                dispatcher,
-                proxy: proxy.clone(),
-                batch: batch.clone(),
-            }));
-        let health = Health {
+        let faces = Faces {
             node: node.clone(),
             keeper: keeper.clone(),
-            metrics: DaemonMetrics::register(&registry)?,
-            registry,
-            stopping: stopping.clone(),
+            proxy: proxy.clone(),
+            dispatcher,
+            batch,
+            drains,
+            records,
+            trust,
         };
-        let admin_routes = Routes::new()
-            .at("/", Arc::new(health))
-            .at(ADMIN_PREFIX, Arc::new(admin_service));
-        let peer_routes = Routes::new()
-            .at("/peer/", Arc::new(PeerService::new(node.clone())))
-            .at("/peer/forward/", proxy.peer_face())
-            .at("/peer/keys/", proxy.peer_face())
-            .at(PEER_PATH, BatchService::new(batch));
+        let admin_routes = faces.admin(registry, stopping.clone())?;
+        let peer_routes = faces.peers();
         let servers = background.clone();
         let peers = serve(
             &cfg.listen.peers,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 mod daemon_metrics;
 mod drain_calls;
 mod entry;
+mod faces;
 mod feeder;
 mod health;
 mod job_calls;
--- a/src/schema/bundle.rs
+++ b/src/schema/bundle.rs
@@ -216,7 +216,7 @@
     ///Whether slow idempotent requests are hedged within the retry budget.
     #[serde(default)]
     pub hedge: bool,
-    ///Longest deadline that a caller may ask for, in milliseconds.
+    ///Longest deadline that a caller may ask for, in milliseconds; slots of a removed member are free again after 30 s.
     pub max_deadline_ms: crate::model::Millis,
     ///Most endpoints that may be ejected at once, in thousandths.
     #[serde(default = "defaults::service_spec_max_ejected_permille")]
