--- a/src/admission/refusal.rs
+++ b/src/admission/refusal.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 
 /// Why a request was not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Refusal {
     /// The bundle in force has no such service.
--- a/src/batch/calls.rs
+++ b/src/batch/calls.rs
@@ -18,7 +18,8 @@
 const JOB_TIMEOUT: Millis = Millis(7000);
 
 /// A call to the owner of job shards.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum JobCall {
     /// Submits a job.
     Submit(JobSpec),
@@ -29,7 +30,8 @@
 }
 
 /// Answer of the owner of job shards.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum JobAnswer {
     /// The job is durable.
     Submitted(JobId),
--- a/src/batch/refusal.rs
+++ b/src/batch/refusal.rs
@@ -5,7 +5,8 @@
 use crate::prelude::*;
 
 /// Why a call about jobs was not carried out.
-#[derive(Clone, Debug, PartialEq, Eq, Error, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error, serde::Serialize, serde::Deserialize)]
 pub enum Refusal {
     /// The job can never run.
     #[error("job can never run: {0}")]
--- a/src/bench/colocation.rs
+++ b/src/bench/colocation.rs
@@ -50,7 +50,8 @@
 const TRIES: usize = 64;
 
 /// How workers are chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub enum PlacementPolicy {
     /// The first worker with room.
     FirstFit,
@@ -61,7 +62,8 @@
 }
 
 /// What one policy achieved.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct ColocationResult {
     /// The policy.
     pub policy: PlacementPolicy,
--- a/src/bench/control/heads.rs
+++ b/src/bench/control/heads.rs
@@ -23,7 +23,8 @@
 const TICKS_PER_SECOND: f64 = 100.0;
 
 /// Bytes of the HTTP heads of one exchange.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct HeadSizes {
     /// Head of a request.
     pub request: u64,
--- a/src/bench/control/report.rs
+++ b/src/bench/control/report.rs
@@ -18,7 +18,8 @@
 const TICKS: f64 = 20.0;
 
 /// Store calls a second of a whole region.
-#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct StoreRates {
     /// Mean in calm.
     pub calm: f64,
@@ -29,7 +30,8 @@
 }
 
 /// Cost at one size of a region.
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct ControlRow {
     /// Members of the region.
     pub members: usize,
@@ -102,7 +104,8 @@
 }
 
 /// Cost of the control plane.
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct ControlReport {
     /// Seed of the simulated regions.
     pub seed: u64,
--- a/src/bench/path.rs
+++ b/src/bench/path.rs
@@ -32,7 +32,8 @@
 const TICKS_PER_SECOND: f64 = 100.0;
 
 /// Quantiles of a latency, in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Quantiles {
     /// Median.
     pub p50: u64,
@@ -41,7 +42,8 @@
 }
 
 /// Figures of the request path.
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct PathReport {
     /// Latency of direct calls, in microseconds.
     pub direct: Quantiles,
--- a/src/bench/placement.rs
+++ b/src/bench/placement.rs
@@ -29,7 +29,8 @@
 const CAPACITY: Resources = Resources::new(64_000, 250_000, 0);
 
 /// Cost of decisions at one fleet size.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct DecisionCost {
     /// Workers.
     pub workers: u32,
@@ -48,7 +49,8 @@
 }
 
 /// Result of the placement benchmark.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct PlacementReport {
     /// Seed of all random choices.
     pub seed: u64,
--- a/src/bench/requests/report.rs
+++ b/src/bench/requests/report.rs
@@ -16,7 +16,8 @@
 pub const RECOVERED: f64 = 1.1;
 
 /// Figures of one policy at one load.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct LoadRow {
     /// Offered load in percent of the capacity.
     pub load_percent: u64,
@@ -43,7 +44,8 @@
 }
 
 /// Tail latency around the death of an entry process.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct KillRow {
     /// Number of entry processes before.
     pub entries: usize,
@@ -66,7 +68,8 @@
 }
 
 /// Figures of a run of the benchmark.
-#[derive(Clone, Debug, Default, serde::Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Serialize)]
 pub struct RequestsReport {
     /// Seed of the run.
     pub seed: u64,
--- a/src/bench/requests/simulation.rs
+++ b/src/bench/requests/simulation.rs
@@ -17,7 +17,8 @@
 const HEARTBEAT: u64 = 1_000_000;
 
 /// How requests are assigned to endpoints.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Policy {
     /// A random endpoint, without limits.
--- a/src/bench/requests/simulation/entry.rs
+++ b/src/bench/requests/simulation/entry.rs
@@ -44,7 +44,8 @@
 }
 
 /// Which entry processes hold the slots of an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum SlotSharing {
     /// All of them, as evenly as possible.
--- a/src/bench/requests/targets.rs
+++ b/src/bench/requests/targets.rs
@@ -13,7 +13,8 @@
 const MIN_USEFUL: f64 = 0.95;
 
 /// One figure of a run and its bound.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct Target {
     /// What is bounded, and for which variant.
     pub name: String,
--- a/src/bundle/news.rs
+++ b/src/bundle/news.rs
@@ -3,7 +3,8 @@
 use crate::prelude::*;
 
 /// The newest bundle version and key ring of a process, and how fresh its knowledge is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct BundleNews {
     /// Version in force.
     pub version: Version,
--- a/src/dev/check.rs
+++ b/src/dev/check.rs
@@ -21,7 +21,8 @@
 const BUNDLE_LIMIT: Duration = Duration::from_secs(8);
 
 /// Latency of one class in milliseconds.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct ClassRow {
     /// Class of urgency.
     pub class: String,
@@ -42,7 +43,8 @@
 }
 
 /// What a check found.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct CheckReport {
     /// The site.
     pub site: String,
--- a/src/dev/promise.rs
+++ b/src/dev/promise.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 
 /// How often a promise was checked and broken.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct Promise {
     /// Number and short text of the promise.
     pub name: String,
--- a/src/error.rs
+++ b/src/error.rs
@@ -6,7 +6,8 @@
 use crate::model::{OperatorId, Timestamp, Version};
 
 /// A value that is not a valid identifier or number.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum ModelError {
     /// Text that cannot be an identifier.
     #[error("{text:?} is not a valid {kind}: use 1 to 128 letters, digits or any of - _ . : /")]
@@ -37,7 +38,8 @@
 }
 
 /// Why a call to the key-value service gave no usable answer.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum StoreError {
     /// The call was certainly not carried out.
     #[error("key-value service is unavailable: {0}")]
@@ -51,7 +53,8 @@
 }
 
 /// Why a call to a worker agent or the VM list gave no usable answer.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum PlatformError {
     /// No answer arrived; a command may have been carried out.
     #[error("{target} did not answer: {reason}")]
@@ -72,7 +75,8 @@
 }
 
 /// Why a call over HTTP failed.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum CallError {
     /// No connection could be opened, so nothing was sent.
     #[error("connection to {addr} failed: {reason}")]
@@ -125,7 +129,8 @@
 }
 
 /// Why a change to the bundle, the key ring or the audit trail did not happen.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum BundleError {
     /// The text of a bundle has faults.
     #[error("bundle has faults:\n{0}")]
@@ -198,7 +203,8 @@
 }
 
 /// A body that ended before its declared end.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[error("body was cut off: {reason}")]
 pub struct CutOff {
     /// What went wrong.
@@ -215,7 +221,8 @@
 }
 
 /// Why a daemon could not start.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum DaemonError {
     /// An address cannot be listened on.
     #[error("cannot listen on {addr}: {reason}")]
@@ -234,7 +241,8 @@
 }
 
 /// Why a development installation could not start or be checked.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum DevError {
     /// A stand-in could not start.
     #[error("a stand-in could not start: {0}")]
--- a/src/ini/fault.rs
+++ b/src/ini/fault.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 
 /// One fault with its place in the file.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Fault {
     /// Line number, starting at one; zero if the fault has no line, as with a missing section.
     pub line: usize,
@@ -32,9 +33,8 @@
 }
 
 /// All faults of a file, in the order of their lines.
-#[derive(
-    Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize, thiserror::Error,
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize, thiserror::Error)]
 pub struct Faults(pub Vec<Fault>);
 
 impl fmt::Display for Faults {
--- a/src/model/address.rs
+++ b/src/model/address.rs
@@ -7,9 +7,8 @@
 use crate::error::ModelError;
 
 /// An IP address and port.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Address(pub SocketAddr);
 
--- a/src/model/resources.rs
+++ b/src/model/resources.rs
@@ -5,9 +5,8 @@
 use super::{Accelerators, Mebibytes, Millicores};
 
 /// Processors, memory and accelerators that are declared, reserved or free.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Resources {
     /// Processor time.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,7 +5,8 @@
 use crate::prelude::*;
 
 /// A record as the key-value service holds it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Record {
     /// Key of the record.
@@ -19,7 +20,8 @@
 }
 
 /// What a compare-and-swap expects to find.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Expected {
     /// No record with the key.
     Absent,
@@ -28,7 +30,8 @@
 }
 
 /// What a compare-and-swap did.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum CasOutcome {
     /// The value was written at this revision.
     Written(Revision),
@@ -37,7 +40,8 @@
 }
 
 /// A call on the wire between `HttpStore` and a service that speaks its format.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub enum StoreCall {
     /// Reads one record.
--- a/src/platform/worker_agent.rs
+++ b/src/platform/worker_agent.rs
@@ -8,7 +8,8 @@
 };
 
 /// A command to a worker agent; agents refuse commands with an epoch below the highest seen.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum AgentCommand {
     /// Takes over the worker.
     Claim(ClaimWorker),
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -3,7 +3,8 @@
 use crate::prelude::*;
 
 /// Load of a service at this process.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ServiceLoad {
     /// Requests that could be sent at once.
     pub free_slots: u32,
