Correct the comment on drains in the feeder

Cause: the comment still said that the eviction budget bounds a drain, which it has not done since drains stop tasks regardless of it. Change: the comment only.

--- a/src/daemon/feeder.rs
+++ b/src/daemon/feeder.rs
@@ -158,7 +158,7 @@
         self.parts.batch.set_vms(&vms.vms);
     }
 
-    /// Evicts tasks from drained workers of own racks, as far as the budget allows.
+    /// Evicts tasks from drained workers of own racks.
     fn empty_drained(&self) {
         let drained = self.applied.lock().drained.clone();
         let news = self.parts.node.watch_vms().borrow().clone();
