--- a/src/audit/trail.rs
+++ b/src/audit/trail.rs
@@ -1,7 +1,7 @@
 //! The audit trail in the key-value service.
 
-use crate::platform::{Expected, WallClock};
 use crate::prelude::*;
+use crate::provider::{Expected, WallClock};
 use crate::records::{AUDIT_OPEN, Held, Records, Stored, Written, audit_segment};
 use crate::schema::config::{
     AuditAction, AuditEntry, AuditFault, AuditOutcome, AuditPage, AuditReport, AuditSegment,
--- a/src/batch/node.rs
+++ b/src/batch/node.rs
@@ -12,8 +12,8 @@
 use crate::bundle::ActiveBundle;
 use crate::membership::Ownership;
 use crate::placement::{AgentWork, Fleet, RackOwner};
-use crate::platform::{CasOutcome, Store, WorkerAgent};
 use crate::prelude::*;
+use crate::provider::{CasOutcome, Store, WorkerAgent};
 use crate::schema::batch::{JobReport, RackAnswer, RackCall};
 use crate::schema::vm::VmRecord;
 
--- a/src/batch/shard.rs
+++ b/src/batch/shard.rs
@@ -1,7 +1,7 @@
 //! Group commit of one job shard record.
 
-use crate::platform::{Expected, Record};
 use crate::prelude::*;
+use crate::provider::{Expected, Record};
 use crate::schema::batch::{JobRecord, ShardRecord};
 use crate::web::{decode, encode};
 
--- a/src/bench/model_worker.rs
+++ b/src/bench/model_worker.rs
@@ -5,8 +5,8 @@
 
 use std::collections::VecDeque;
 
-use crate::platform::AgentCommand;
 use crate::prelude::*;
+use crate::provider::AgentCommand;
 use crate::schema::worker::{
     AgentRefusal, AgentReply, StartTask, TaskPhase, TaskReport, WorkerState,
 };
--- a/src/bench/region_sim/store.rs
+++ b/src/bench/region_sim/store.rs
@@ -5,8 +5,8 @@
 use super::events::Event;
 use super::{RegionSim, region};
 use crate::membership::{Input, Output};
-use crate::platform::{CasOutcome, Expected};
 use crate::prelude::*;
+use crate::provider::{CasOutcome, Expected};
 use crate::schema::peer::{Member, MemberRecord};
 use crate::web::{decode, encode};
 
--- a/src/bundle/desk/decide.rs
+++ b/src/bundle/desk/decide.rs
@@ -1,8 +1,8 @@
 //! Roll-out: one compare-and-swap of `bundle/current`.
 
 use super::{BundleDesk, Standing, check_scope};
-use crate::platform::Expected;
 use crate::prelude::*;
+use crate::provider::Expected;
 use crate::records::{CURRENT, Held, Written, history, proposals_of};
 use crate::schema::config::{AuditAction, AuditOutcome, CurrentRecord, Proposal, Release, Role};
 use crate::web::encode;
--- a/src/bundle/desk/keys.rs
+++ b/src/bundle/desk/keys.rs
@@ -2,8 +2,8 @@
 
 use super::BundleDesk;
 use crate::audit::AuditDraft;
-use crate::platform::Expected;
 use crate::prelude::*;
+use crate::provider::Expected;
 use crate::records::{CURRENT, Held, Written};
 use crate::schema::config::{
     AuditAction, AuditOutcome, CurrentRecord, KeyRing, RingRequest, RingView, Role,
--- a/src/bundle/desk/mod.rs
+++ b/src/bundle/desk/mod.rs
@@ -7,8 +7,8 @@
 
 use super::{BundleKeeper, Trust};
 use crate::audit::{AuditDraft, AuditTrail};
-use crate::platform::WallClock;
 use crate::prelude::*;
+use crate::provider::WallClock;
 use crate::records::{CURRENT, Held, Records, Stored, history};
 use crate::schema::config::{
     AuditOutcome, Change, CurrentRecord, KeyRing, OperatorRecord, Proposal, Release, Role,
--- a/src/bundle/desk/propose.rs
+++ b/src/bundle/desk/propose.rs
@@ -4,8 +4,8 @@
 use super::{BundleDesk, Standing, check_scope};
 use crate::audit::AuditDraft;
 use crate::bundle::check_bundle;
-use crate::platform::Expected;
 use crate::prelude::*;
+use crate::provider::Expected;
 use crate::records::{Held, Written, proposal};
 use crate::schema::config::{
     AuditAction, AuditOutcome, Proposal, ProposalKind, ProposalView, ProposeRequest, Review,
--- a/src/bundle/keeper.rs
+++ b/src/bundle/keeper.rs
@@ -8,8 +8,8 @@
 use tokio::time::Instant;
 
 use super::{ActiveBundle, BundleInForce, BundleNews, Trust};
-use crate::platform::Store;
 use crate::prelude::*;
+use crate::provider::Store;
 use crate::records::CURRENT;
 use crate::schema::config::{CurrentRecord, KeyRing};
 use crate::web::{decode, encode};
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -8,6 +8,7 @@
 use super::check::{Check, check};
 use super::dev::{Dev, dev};
 use super::drain::{Drain, drain};
+use super::entry::{Entry, entry};
 use super::job::{JobVerb, job};
 use super::key::{KeyVerb, key};
 use super::serve::{Serve, serve};
@@ -19,6 +20,8 @@
 pub enum Command {
     /// Runs the daemon.
     Serve(Serve),
+    /// Runs the daemon on the users' platform.
+    Entry(Entry),
     /// Runs a development site.
     Dev(Dev),
     /// Checks files.
@@ -42,6 +45,7 @@
 /// Options of the whole program.
 pub fn options() -> OptionParser<Command> {
     let serve = serve().map(Command::Serve);
+    let entry = entry().map(Command::Entry);
     let dev = dev().map(Command::Dev);
     let check = check().map(Command::Check);
     let bundle = bundle().map(Command::Bundle);
@@ -52,7 +56,7 @@
     let drain = drain().map(Command::Drain);
     let bench = bench().map(Command::Bench);
     construct!([
-        serve, dev, check, bundle, key, audit, job, view, drain, bench
+        serve, entry, dev, check, bundle, key, audit, job, view, drain, bench
     ])
     .to_options()
     .version(env!("CARGO_PKG_VERSION"))
@@ -68,6 +72,7 @@
     pub async fn run(self) -> Result<Output, CliError> {
         match self {
             Self::Serve(verb) => verb.run().await,
+            Self::Entry(verb) => verb.run().await,
             Self::Dev(verb) => verb.run().await,
             Self::Check(verb) => verb.run(),
             Self::Bundle(verb) => verb.run().await,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -8,6 +8,7 @@
 mod command;
 mod dev;
 mod drain;
+mod entry;
 mod exit;
 mod job;
 mod key;
@@ -36,7 +37,12 @@
             };
         }
     };
-    let result = tokio::runtime::Builder::new_multi_thread()
+    let mut builder = match command {
+        // An entry VM has a quarter of a core, on which more threads only add switches.
+        Command::Entry(_) => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let result = builder
         .enable_all()
         .build()
         .map_err(|err| CliError::unreachable(format!("cannot start the runtime: {err}")))
--- a/src/dev/operators.rs
+++ b/src/dev/operators.rs
@@ -7,8 +7,8 @@
 use crate::bundle::{
     ActiveBundle, BundleDesk, BundleKeeper, PrivateKey, Trust, digest_of, key_id, sign_ring,
 };
-use crate::platform::{Store, wall_clock};
 use crate::prelude::*;
+use crate::provider::{Store, wall_clock};
 use crate::records::Records;
 use crate::schema::config::{
     KeyRing, OperatorKey, OperatorRecord, ProposeRequest, ReviewRequest, RingRequest, Role,
--- a/src/drain/desk.rs
+++ b/src/drain/desk.rs
@@ -3,8 +3,8 @@
 use parking_lot::RwLock;
 
 use super::Drained;
-use crate::platform::Expected;
 use crate::prelude::*;
+use crate::provider::Expected;
 use crate::records::{Held, Records, Stored, Written};
 use crate::schema::drain::{DrainRecord, DrainTarget};
 use crate::web::{decode, encode};
--- /dev/null
+++ b/src/entry/committer.rs
@@ -0,0 +1,73 @@
+//! Writes the records that wait, under the condition that this process still leads.
+
+use std::time::Duration;
+
+use super::config_watch::RETRY_PAUSE;
+use super::keys::{LEADER, record_id, record_key};
+use super::leader::Leader;
+use super::ports::{Outcome, Transaction};
+use crate::prelude::*;
+
+/// Time in which changes are gathered into one write; a tenth of the tightest objective's slack.
+const GATHER: Duration = Duration::from_millis(10);
+
+/// Time for one write; a slow store answers within about 250 ms.
+const WRITE_TIMEOUT: Millis = Millis(600);
+
+/// Writes batches until the leader is lost.
+pub(super) async fn run_committer(leader: Arc<Leader>) {
+    loop {
+        let batch = leader.sched.lock().next_batch();
+        let Some(batch) = batch else {
+            leader.dirty.notified().await;
+            tokio::time::sleep(GATHER).await;
+            continue;
+        };
+        let mut txn = Transaction {
+            expected: vec![(LEADER.to_string(), leader.fence)],
+            ..Transaction::default()
+        };
+        for write in &batch.writes {
+            let key = record_key(&write.job);
+            txn.expected.push((key.clone(), write.revision));
+            txn.writes.push((key, write.value.clone(), 0));
+        }
+        let outcome = leader.shared.store.commit(&txn, WRITE_TIMEOUT).await;
+        leader.shared.note_store("commit", &outcome);
+        match outcome {
+            Ok(Outcome::Done(revision)) => {
+                leader.change(|sched, now| sched.committed(&batch, revision, now));
+                wake_holds(&leader);
+            }
+            Ok(Outcome::Conflict(items)) => {
+                let held = items
+                    .iter()
+                    .any(|item| item.key == LEADER && item.revision == leader.fence);
+                if !held {
+                    tracing::warn!(fence = leader.fence, "leader's key is lost");
+                    leader.lost.cancel();
+                    return;
+                }
+                let mut sched = leader.sched.lock();
+                for item in items {
+                    if let Some(id) = record_id(&item.key) {
+                        sched.set_revision(&id, item.revision);
+                    }
+                }
+                sched.not_committed(&batch);
+            }
+            other => {
+                tracing::info!(?other, records = batch.writes.len(), "records not written");
+                leader.sched.lock().not_committed(&batch);
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Lets workers whose ends are now durable be told so.
+fn wake_holds(leader: &Leader) {
+    for wake in leader.holds.lock().values() {
+        wake.notify_one();
+    }
+}
--- /dev/null
+++ b/src/entry/config_watch.rs
@@ -0,0 +1,92 @@
+//! Keeps the configuration in force up to date.
+
+use std::time::Duration;
+
+use super::ports::{Change, Item, News};
+use super::shared::Shared;
+use crate::prelude::*;
+
+/// Wait of one watch; a silent connection is noticed a little later, within the bound of a change.
+pub(super) const WATCH_WAIT: Millis = Millis(1500);
+
+/// Pause after a failed call.
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Time for a read of one item.
+pub(super) const GET_TIMEOUT: Millis = Millis(800);
+
+/// Follows the configuration until `cancel` fires.
+pub(super) async fn watch_config(shared: Arc<Shared>, cancel: CancellationToken) {
+    let key = shared.dialect.config_key().to_string();
+    let mut after = None;
+    while !cancel.is_cancelled() {
+        let Some(at) = after else {
+            let read = shared.store.get(&key, GET_TIMEOUT).await;
+            shared.note_store("get", &read);
+            match read {
+                Ok((item, at)) => {
+                    let at = item.as_ref().map_or(at, |item| at.max(item.revision));
+                    if let Some(item) = item {
+                        apply(&shared, &item);
+                    }
+                    after = Some(at);
+                }
+                Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+            continue;
+        };
+        let watch = shared.store.watch(&key, at, WATCH_WAIT).await;
+        shared.note_store("watch", &watch);
+        match watch {
+            Ok(News::Changes(changes, at)) => {
+                for change in changes {
+                    if let Change::Put(item) = change
+                        && item.key == key
+                    {
+                        apply(&shared, &item);
+                    }
+                }
+                after = Some(at);
+            }
+            Ok(News::Lost) => after = None,
+            Err(_) => {
+                // Changes may have been missed, so the value is read anew.
+                after = None;
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn apply(shared: &Shared, item: &Item) {
+    let table = match shared.dialect.config(&item.value) {
+        Ok(table) => Arc::new(table),
+        Err(err) => {
+            tracing::error!(key = item.key, revision = item.revision, %err, "configuration cannot be read");
+            return;
+        }
+    };
+    let mut current = shared.queues.write();
+    // A late answer never undoes a newer version.
+    if current
+        .as_ref()
+        .is_some_and(|known| known.version >= table.version)
+    {
+        return;
+    }
+    tracing::info!(
+        version = table.version,
+        revision = item.revision,
+        queues = table.queues.len(),
+        "configuration in force"
+    );
+    shared
+        .metrics
+        .config_version
+        .set(i64::try_from(table.version).unwrap_or(i64::MAX));
+    *current = Some(table.clone());
+    drop(current);
+    if let Some(leader) = shared.lead() {
+        leader.change(|sched, _| sched.set_queues(table));
+    }
+}
--- /dev/null
+++ b/src/entry/election.rs
@@ -0,0 +1,173 @@
+//! Takes the leader's key in the store, and learns who holds it.
+
+use std::time::Duration;
+
+use super::config_watch::{GET_TIMEOUT, RETRY_PAUSE, WATCH_WAIT};
+use super::keys::LEADER;
+use super::leader;
+use super::ports::{Change, Item, News, Outcome, Transaction};
+use super::shared::{LeaderName, Shared};
+use crate::prelude::*;
+
+/// Lease of the leader's key; a successor follows this long after a leader's sudden end.
+pub(super) const LEADER_LEASE: Millis = Millis(1600);
+
+/// Time that a leader without the store goes on renewing the runs of its workers, so that a
+/// short outage of the store ends no work.
+pub(super) const OUTAGE_HOLD: Millis = Millis(4000);
+
+/// Time after a leader lost its key within which it may still renew runs.
+pub const FORMER_LEADER_SPAN: Millis = Millis(LEADER_LEASE.0 + OUTAGE_HOLD.0);
+
+/// Time for a write of the leader's key.
+const CLAIM_TIMEOUT: Millis = Millis(700);
+
+/// Steps of the wait before a claim, so that processes do not all claim at once.
+const CLAIM_STEPS: u64 = 8;
+
+/// Length of one such step, in milliseconds: about the time of a write.
+const CLAIM_STEP_MS: u64 = 15;
+
+/// Follows the leader's key; claims it, too, until `cancel` fires.
+pub(super) async fn run_elections(shared: Arc<Shared>, cancel: CancellationToken) {
+    let mut after = None;
+    loop {
+        let Some(at) = after else {
+            after = read_leader(&shared, &cancel).await;
+            if after.is_none() {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+            continue;
+        };
+        let watch = shared.store.watch(LEADER, at, WATCH_WAIT).await;
+        shared.note_store("watch", &watch);
+        after = match watch {
+            // Without a leader the key is read again, and claimed.
+            Ok(News::Changes(changes, at)) if changes.is_empty() => {
+                shared.leader_name.read().is_some().then_some(at)
+            }
+            Ok(News::Changes(changes, at)) => {
+                let last = changes.into_iter().next_back();
+                match last {
+                    Some(Change::Put(item)) if !is_stale(&shared, &item) => {
+                        set_name(&shared, Some(&item));
+                        Some(at)
+                    }
+                    _ => {
+                        set_name(&shared, None);
+                        tokio::time::sleep(claim_delay(&shared)).await;
+                        None
+                    }
+                }
+            }
+            Ok(News::Lost) => None,
+            Err(_) => {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                None
+            }
+        };
+    }
+}
+
+/// Spreads claims by the process's name.
+fn claim_delay(shared: &Shared) -> Duration {
+    let hash = shared.cfg.peer.bytes().fold(0u64, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(byte.into())
+    });
+    Duration::from_millis(hash % CLAIM_STEPS * CLAIM_STEP_MS)
+}
+
+/// Reads the key and claims it if nobody holds it; returns the revision to watch from.
+async fn read_leader(shared: &Arc<Shared>, cancel: &CancellationToken) -> Option<u64> {
+    let read = shared.store.get(LEADER, GET_TIMEOUT).await;
+    shared.note_store("get", &read);
+    let (item, at) = read.ok()?;
+    if let Some(item) = item {
+        if !is_stale(shared, &item) {
+            set_name(shared, Some(&item));
+            return Some(at.max(item.revision));
+        }
+        // The key belongs to an earlier process at this address, which has ended.
+        let txn = Transaction {
+            expected: vec![(LEADER.to_string(), item.revision)],
+            removes: vec![LEADER.to_string()],
+            ..Transaction::default()
+        };
+        let removed = shared.store.commit(&txn, CLAIM_TIMEOUT).await;
+        shared.note_store("commit", &removed);
+        removed.ok()?;
+    }
+    set_name(shared, None);
+    if shared.queues.read().is_none() {
+        return None;
+    }
+    if cancel.is_cancelled() {
+        return Some(at);
+    }
+    claim(shared, cancel).await;
+    None
+}
+
+fn is_stale(shared: &Shared, item: &Item) -> bool {
+    decode(item).is_some_and(|name| {
+        name.address == shared.cfg.peer && name.incarnation != shared.incarnation
+    })
+}
+
+fn decode(item: &Item) -> Option<LeaderName> {
+    match rmp_serde::from_slice(&item.value) {
+        Ok(name) => Some(name),
+        Err(err) => {
+            tracing::error!(key = item.key, revision = item.revision, %err, "leader's key cannot be read");
+            None
+        }
+    }
+}
+
+fn set_name(shared: &Shared, item: Option<&Item>) {
+    let name = item.and_then(decode);
+    let mut known = shared.leader_name.write();
+    if *known == name {
+        return;
+    }
+    match (&name, item) {
+        (Some(name), Some(item)) => {
+            tracing::info!(leader = name.vm, revision = item.revision, "leader known");
+        }
+        _ => tracing::info!("no leader"),
+    }
+    *known = name;
+}
+
+async fn claim(shared: &Arc<Shared>, cancel: &CancellationToken) {
+    let ttl = LEADER_LEASE.max(shared.cfg.shortest_lease);
+    let asked = shared.clock.now();
+    let lease = shared.store.grant(ttl).await;
+    shared.note_store("grant", &lease);
+    let Ok(lease) = lease else {
+        return;
+    };
+    let name = LeaderName {
+        vm: shared.cfg.name.clone(),
+        address: shared.cfg.peer.clone(),
+        incarnation: shared.incarnation,
+    };
+    let value = match rmp_serde::to_vec_named(&name) {
+        Ok(value) => value,
+        Err(err) => {
+            tracing::error!(%err, "leader's key cannot be encoded");
+            return;
+        }
+    };
+    let txn = Transaction {
+        expected: vec![(LEADER.to_string(), 0)],
+        writes: vec![(LEADER.to_string(), value, lease)],
+        removes: Vec::new(),
+    };
+    let outcome = shared.store.commit(&txn, CLAIM_TIMEOUT).await;
+    shared.note_store("commit", &outcome);
+    if let Ok(Outcome::Done(revision)) = outcome {
+        *shared.leader_name.write() = Some(name);
+        leader::lead(shared, lease, revision, asked + ttl, ttl, cancel).await;
+    }
+}
--- /dev/null
+++ b/src/entry/leader.rs
@@ -0,0 +1,287 @@
+//! One term of leadership, from the claim of the key to its loss.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+
+use super::committer::run_committer;
+use super::config_watch::{RETRY_PAUSE, WATCH_WAIT};
+use super::election::OUTAGE_HOLD;
+use super::keys::{INTAKE, LEADER};
+use super::load::{apply_intake, apply_worker, load, load_workers};
+use super::ports::{Change, News, Outcome, Transaction};
+use super::shared::Shared;
+use crate::prelude::*;
+use crate::scheduler::Scheduler;
+
+/// Time between two renewals of the leader's lease: three fit into it besides the first.
+const RENEW_EVERY: Duration = Duration::from_millis(400);
+
+/// Time for one renewal.
+const RENEW_TIMEOUT: Millis = Millis(500);
+
+/// Part of the lease that is left unused, for the delay of orders under way.
+const LEASE_MARGIN: Millis = Millis(150);
+
+/// Time between two rounds of what only time changes.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Writers of records; each has one transaction under way.
+const COMMITTERS: usize = 3;
+
+/// A leader's state and the signals between its tasks.
+pub(super) struct Leader {
+    pub shared: Arc<Shared>,
+    pub fence: u64,
+    pub sched: Mutex<Scheduler>,
+    pub dirty: Notify,
+    pub lost: CancellationToken,
+    pub holds: Mutex<HashMap<WorkerId, Arc<Notify>>>,
+    valid_until: AtomicU64,
+}
+
+impl Leader {
+    /// Tells whether the lease still covers orders that are sent now.
+    pub fn is_valid(&self) -> bool {
+        self.shared.clock.now().0 < self.valid_until.load(Ordering::Relaxed)
+    }
+
+    /// Changes the scheduler's state and sends what follows.
+    pub fn change(self: &Arc<Self>, f: impl FnOnce(&mut Scheduler, Millis)) {
+        let now = self.shared.clock.now();
+        f(&mut self.sched.lock(), now);
+        self.pump();
+    }
+
+    fn extend(&self, until: Millis) {
+        let until = until.saturating_sub(LEASE_MARGIN);
+        self.valid_until.store(until.0, Ordering::Relaxed);
+    }
+}
+
+/// Leads until the key is lost or `cancel` fires.
+pub(super) async fn lead(
+    shared: &Arc<Shared>,
+    lease: u64,
+    fence: u64,
+    valid_until: Millis,
+    ttl: Millis,
+    cancel: &CancellationToken,
+) {
+    let Some(queues) = shared.queues.read().clone() else {
+        return;
+    };
+    let began = shared.clock.now();
+    let timing = shared.cfg.timing.clone();
+    let leader = Arc::new(Leader {
+        shared: shared.clone(),
+        fence,
+        sched: Mutex::new(Scheduler::new(timing, fence, queues, began)),
+        dirty: Notify::new(),
+        lost: cancel.child_token(),
+        holds: Mutex::new(HashMap::new()),
+        valid_until: AtomicU64::new(0),
+    });
+    leader.extend(valid_until);
+    shared.metrics.leaderships.inc();
+    tracing::info!(fence, "leadership taken");
+    let mut tasks = JoinSet::new();
+    tasks.spawn(renew(leader.clone(), lease, ttl));
+    tasks.spawn(watch_key(leader.clone()));
+    let loaded = tokio::select! {
+        loaded = load(&leader) => loaded,
+        () = leader.lost.cancelled() => None,
+    };
+    if let Some((intake_at, workers_at)) = loaded {
+        let (jobs, workers, runs) = leader.sched.lock().summary();
+        let took = shared.clock.now().since(began);
+        tracing::info!(fence, jobs, workers, runs, took_ms = took.0, "state loaded");
+        // A new configuration may have come in the meantime.
+        if let Some(queues) = shared.queues.read().clone() {
+            leader.sched.lock().set_queues(queues);
+        }
+        *shared.leader.write() = Some(leader.clone());
+        tasks.spawn(watch_intake(leader.clone(), intake_at));
+        tasks.spawn(watch_workers(leader.clone(), workers_at));
+        tasks.spawn(tick(leader.clone()));
+        for _ in 0..COMMITTERS {
+            tasks.spawn(run_committer(leader.clone()));
+        }
+        leader.pump();
+        leader.lost.cancelled().await;
+    }
+    *shared.leader.write() = None;
+    leader.lost.cancel();
+    tasks.shutdown().await;
+    tracing::info!(fence, "leadership ended");
+    if cancel.is_cancelled() {
+        hand_over(&leader).await;
+    }
+}
+
+/// Removes the key, so that a successor need not wait for the lease to run out.
+async fn hand_over(leader: &Leader) {
+    let txn = Transaction {
+        expected: vec![(LEADER.to_string(), leader.fence)],
+        removes: vec![LEADER.to_string()],
+        ..Transaction::default()
+    };
+    let removed = leader.shared.store.commit(&txn, RENEW_TIMEOUT).await;
+    leader.shared.note_store("commit", &removed);
+    match removed {
+        Ok(Outcome::Done(_)) => tracing::info!(fence = leader.fence, "leadership handed over"),
+        other => tracing::warn!(fence = leader.fence, ?other, "leader's key not removed"),
+    }
+}
+
+async fn renew(leader: Arc<Leader>, lease: u64, ttl: Millis) {
+    let shared = &leader.shared;
+    loop {
+        let sent = shared.clock.now();
+        let renewed = shared.store.renew(lease, RENEW_TIMEOUT).await;
+        shared.note_store("renew", &renewed);
+        match renewed {
+            Ok(true) => leader.extend(sent + ttl),
+            Ok(false) => {
+                tracing::warn!(fence = leader.fence, "leader's lease has ended");
+                leader.lost.cancel();
+                return;
+            }
+            Err(_) => {}
+        }
+        let valid = leader.is_valid();
+        leader.change(|sched, _| sched.allow_starts(valid));
+        let until = Millis(leader.valid_until.load(Ordering::Relaxed));
+        if shared.clock.now() > until + OUTAGE_HOLD {
+            tracing::warn!(
+                fence = leader.fence,
+                "store is away for too long; leadership given up"
+            );
+            leader.lost.cancel();
+            return;
+        }
+        let pause = if renewed.is_ok() {
+            RENEW_EVERY
+        } else {
+            RETRY_PAUSE
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Notices that the key was removed or taken, which a renewal does not show.
+async fn watch_key(leader: Arc<Leader>) {
+    let shared = &leader.shared;
+    let mut after = leader.fence;
+    loop {
+        let watch = shared.store.watch(LEADER, after, WATCH_WAIT).await;
+        shared.note_store("watch", &watch);
+        match watch {
+            Ok(News::Changes(changes, at)) => {
+                let taken = changes.iter().any(|change| match change {
+                    Change::Put(item) => item.key == LEADER && item.revision != leader.fence,
+                    Change::Removed(key) => key == LEADER,
+                });
+                if taken {
+                    tracing::warn!(fence = leader.fence, at, "leader's key is lost");
+                    leader.lost.cancel();
+                    return;
+                }
+                after = at;
+            }
+            Ok(News::Lost) => {
+                let read = shared.store.get(LEADER, RENEW_TIMEOUT).await;
+                shared.note_store("get", &read);
+                match read {
+                    Ok((Some(item), at)) if item.revision == leader.fence => after = at,
+                    Ok(_) => {
+                        tracing::warn!(fence = leader.fence, "leader's key is lost");
+                        leader.lost.cancel();
+                        return;
+                    }
+                    Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+                }
+            }
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+async fn watch_intake(leader: Arc<Leader>, mut after: u64) {
+    let shared = &leader.shared;
+    loop {
+        let watch = shared.store.watch(INTAKE, after, WATCH_WAIT).await;
+        shared.note_store("watch", &watch);
+        match watch {
+            Ok(News::Changes(changes, at)) => {
+                after = at;
+                if changes.is_empty() {
+                    continue;
+                }
+                let wall = shared.clock.wall();
+                leader.change(|sched, now| {
+                    for change in &changes {
+                        if let Change::Put(item) = change {
+                            apply_intake(sched, item, None, now, wall);
+                        }
+                    }
+                });
+            }
+            Ok(News::Lost) => match super::load::reload_intake(&leader).await {
+                Some(at) => after = at,
+                None => tokio::time::sleep(RETRY_PAUSE).await,
+            },
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+async fn watch_workers(leader: Arc<Leader>, mut after: u64) {
+    let shared = &leader.shared;
+    let prefix = shared.dialect.workers_prefix().to_string();
+    loop {
+        let watch = shared.store.watch(&prefix, after, WATCH_WAIT).await;
+        shared.note_store("watch", &watch);
+        match watch {
+            Ok(News::Changes(changes, at)) => {
+                after = at;
+                if changes.is_empty() {
+                    continue;
+                }
+                leader.change(|sched, now| {
+                    for change in &changes {
+                        apply_worker(shared, sched, change, now);
+                    }
+                });
+            }
+            Ok(News::Lost) => match load_workers(&leader).await {
+                Some(at) => after = at,
+                None => tokio::time::sleep(RETRY_PAUSE).await,
+            },
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+async fn tick(leader: Arc<Leader>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        let wall = leader.shared.clock.wall();
+        let valid = leader.is_valid();
+        leader.change(|sched, now| {
+            sched.allow_starts(valid);
+            sched.tick(now, wall);
+        });
+        let (jobs, workers, runs) = leader.sched.lock().summary();
+        let known = &leader.shared.metrics.known;
+        for (kind, count) in [("jobs", jobs), ("workers", workers), ("runs", runs)] {
+            known
+                .with_label_values(&[kind])
+                .set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/metrics.rs
@@ -0,0 +1,92 @@
+//! Counters and histograms of the daemon.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+/// Buckets of latencies, in seconds.
+const BUCKETS: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
+
+/// What the daemon counts.
+pub(super) struct EntryMetrics {
+    registry: Registry,
+    /// Requests of callers by verb and outcome.
+    pub requests: IntCounterVec,
+    /// Time to answer callers by verb.
+    pub request_seconds: HistogramVec,
+    /// Calls to the store by call and outcome.
+    pub store_calls: IntCounterVec,
+    /// Starts by answer.
+    pub starts: IntCounterVec,
+    /// Times that this process became leader.
+    pub leaderships: IntCounter,
+    /// Jobs, workers and runs that the leader knows.
+    pub known: IntGaugeVec,
+    /// Version of the configuration in force.
+    pub config_version: IntGauge,
+}
+
+impl EntryMetrics {
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let metric = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok::<_, prometheus::Error>(metric)
+        };
+        let requests = counters(
+            "sapphirecroft_requests_total",
+            "Requests of callers by verb and outcome",
+            &["verb", "outcome"],
+        )?;
+        let store_calls = counters(
+            "sapphirecroft_store_calls_total",
+            "Calls to the key-value service by call and outcome",
+            &["call", "outcome"],
+        )?;
+        let starts = counters(
+            "sapphirecroft_starts_total",
+            "Starts of runs by the worker's answer",
+            &["answer"],
+        )?;
+        let request_seconds = HistogramVec::new(
+            HistogramOpts::new("sapphirecroft_request_seconds", "Time to answer a caller")
+                .buckets(BUCKETS.to_vec()),
+            &["verb"],
+        )?;
+        let leaderships = IntCounter::new(
+            "sapphirecroft_leaderships_total",
+            "Times that this process became leader",
+        )?;
+        let known = IntGaugeVec::new(
+            Opts::new("sapphirecroft_known", "Objects that the leader knows"),
+            &["kind"],
+        )?;
+        let config_version = IntGauge::new(
+            "sapphirecroft_config_version",
+            "Version of the configuration in force",
+        )?;
+        registry.register(Box::new(request_seconds.clone()))?;
+        registry.register(Box::new(leaderships.clone()))?;
+        registry.register(Box::new(known.clone()))?;
+        registry.register(Box::new(config_version.clone()))?;
+        Ok(Self {
+            registry,
+            requests,
+            request_seconds,
+            store_calls,
+            starts,
+            leaderships,
+            known,
+            config_version,
+        })
+    }
+
+    /// Writes all metrics as text.
+    pub fn text(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(buf)
+    }
+}
--- /dev/null
+++ b/src/entry/pump.rs
@@ -0,0 +1,92 @@
+//! Sends what the scheduler has decided.
+
+use tokio::sync::Notify;
+
+use super::holds::run_holds;
+use super::leader::Leader;
+use crate::prelude::*;
+use crate::scheduler::{Order, StartAnswer};
+
+impl Leader {
+    /// Plans, wakes the writers of records and sends orders.
+    pub fn pump(self: &Arc<Self>) {
+        let now = self.shared.clock.now();
+        let (orders, ids) = {
+            let mut sched = self.sched.lock();
+            sched.plan(now);
+            (sched.take_orders(), sched.new_workers())
+        };
+        self.dirty.notify_one();
+        for id in ids {
+            self.watch_worker(id);
+        }
+        for order in orders {
+            self.send(order);
+        }
+    }
+
+    fn watch_worker(self: &Arc<Self>, id: WorkerId) {
+        let wake = Arc::new(Notify::new());
+        self.holds.lock().insert(id.clone(), wake.clone());
+        tokio::spawn(run_holds(self.clone(), id, wake));
+    }
+
+    fn send(self: &Arc<Self>, order: Order) {
+        let leader = self.clone();
+        match order {
+            Order::Start(order) => {
+                tokio::spawn(async move {
+                    // A process that was suspended since it planned this must not send it.
+                    if !leader.is_valid() || leader.lost.is_cancelled() {
+                        return;
+                    }
+                    let answer = leader.shared.workers.start(&order).await;
+                    let label = match answer {
+                        StartAnswer::Started => "started",
+                        StartAnswer::Fenced => "fenced",
+                        StartAnswer::Old => "old",
+                        StartAnswer::Late => "late",
+                        StartAnswer::NoRoom => "no_room",
+                        StartAnswer::Refused => "refused",
+                        StartAnswer::Unknown => "unknown",
+                    };
+                    leader
+                        .shared
+                        .metrics
+                        .starts
+                        .with_label_values(&[label])
+                        .inc();
+                    tracing::info!(task = %order.task, run = order.run, worker = %order.worker, answer = label, "start");
+                    leader.change(|sched, now| {
+                        sched.start_answered(&order.worker, &order.task, order.run, answer, now);
+                    });
+                    let wake = leader.holds.lock().get(&order.worker).cloned();
+                    if let Some(wake) = wake {
+                        wake.notify_one();
+                    }
+                });
+            }
+            Order::Stop(order) => {
+                tokio::spawn(async move {
+                    if leader.lost.is_cancelled() {
+                        return;
+                    }
+                    let done = leader.shared.workers.stop(&order).await;
+                    tracing::info!(task = %order.task, run = order.run, worker = %order.worker, acknowledged = done, "stop");
+                    leader.change(|sched, now| {
+                        sched.stop_answered(&order.worker, &order.task, order.run, done, now);
+                    });
+                });
+            }
+            Order::Pace { run, percent } => {
+                tokio::spawn(async move {
+                    if leader.lost.is_cancelled() {
+                        return;
+                    }
+                    let done = leader.shared.workers.pace(&run, percent).await;
+                    tracing::info!(task = %run.task, run = run.run, worker = %run.worker, percent, acknowledged = done, "pace");
+                });
+            }
+        }
+    }
+}
--- a/src/model/ids.rs
+++ b/src/model/ids.rs
@@ -10,6 +10,10 @@
     /// A VM of the platform.
     VmId
 );
+text_id!(
+    /// A worker: one VM that runs tasks, under the id by which it registers itself.
+    WorkerId
+);
 text_id!(
     /// A rack of workers.
     RackId
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -12,7 +12,7 @@
 pub use hex_bytes::{Digest, PublicKey, Signature};
 pub use ids::{
     CheckpointId, ClassName, JobId, KeyId, MemberId, OperatorId, ProposalId, RackId, RegionId,
-    ServiceId, SiteId, TaskId, TeamId, VmId, WriterToken, ZoneId,
+    ServiceId, SiteId, TaskId, TeamId, VmId, WorkerId, WriterToken, ZoneId,
 };
 pub use millis::Millis;
 pub use resources::Resources;
--- a/src/peer/node.rs
+++ b/src/peer/node.rs
@@ -10,8 +10,8 @@
 use super::news::{News, publish};
 use super::{LocalState, PeerNews, RegionNews, RegionsNews, ViewNews, VmNews};
 use crate::membership::{Input, Membership, Output, Timing};
-use crate::platform::{Store, VmList};
 use crate::prelude::*;
+use crate::provider::{Store, VmList};
 use crate::schema::peer::{Heartbeat, Member, MemberRecord};
 use crate::web::Caller;
 
--- a/src/peer/store_calls.rs
+++ b/src/peer/store_calls.rs
@@ -4,8 +4,8 @@
 
 use super::MemberNode;
 use crate::membership::Input;
-use crate::platform::{CasOutcome, Expected};
 use crate::prelude::*;
+use crate::provider::{CasOutcome, Expected};
 use crate::schema::peer::{Member, MemberRecord};
 use crate::web::{decode, encode};
 
--- a/src/placement/agents.rs
+++ b/src/placement/agents.rs
@@ -5,8 +5,8 @@
 use super::lease::TASK_LEASE;
 use super::owner::RackOwner;
 use super::worker_book::{InFlight, WorkerBook};
-use crate::platform::AgentCommand;
 use crate::prelude::*;
+use crate::provider::AgentCommand;
 use crate::schema::batch::EndKind;
 use crate::schema::worker::{
     AcknowledgeTasks, AgentRefusal, AgentReply, ClaimWorker, RenewLeases, StopTask, TaskAttempt,
--- /dev/null
+++ b/src/platform/job.rs
@@ -0,0 +1,94 @@
+//! Decodes a job as a client submits it.
+
+use serde::Deserialize;
+
+use super::config::whole;
+use super::entry::resources;
+use crate::prelude::*;
+use crate::scheduler::{JobSpec, Repeat, StepSpec};
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Body {
+    #[serde(default)]
+    spec: String,
+    steps: Vec<Step>,
+    #[serde(default)]
+    repeat_count: u32,
+    #[serde(default)]
+    start_at_ms: f64,
+    #[serde(default)]
+    interval_ms: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Step {
+    count: u32,
+    cpu: f64,
+    mem_mb: f64,
+    gpu: f64,
+    estimate_ms: f64,
+    after: Vec<u32>,
+    checkpoint: bool,
+    gang: bool,
+    rack_local: bool,
+    requires: String,
+    /// Rack on which the data is located.
+    affinity: String,
+    /// Most tasks of the step on one worker; 0 means no bound.
+    anti_affinity: u32,
+    speculative: bool,
+    long_running: bool,
+    image: String,
+    target_ms: f64,
+    fills: bool,
+    allow_miss: u32,
+}
+
+/// Most tasks of one job, so that one body cannot exhaust the memory of a small machine.
+const MAX_TASKS: u64 = 20_000;
+
+pub(super) fn decode(body: &[u8]) -> Result<JobSpec, String> {
+    let body: Body = serde_json::from_slice(body).map_err(|err| err.to_string())?;
+    let spec = JobSpec {
+        queue: String::new(),
+        submitted: Timestamp(0),
+        payload: body.spec,
+        steps: body.steps.into_iter().map(step).collect(),
+        repeat: (body.repeat_count > 0).then(|| Repeat {
+            count: body.repeat_count,
+            first: Timestamp(whole(body.start_at_ms)),
+            interval: Millis(whole(body.interval_ms)),
+        }),
+    };
+    let tasks: u64 = spec.steps.iter().map(|step| u64::from(step.tasks)).sum();
+    if tasks.saturating_mul(u64::from(spec.occurrences())) > MAX_TASKS {
+        return Err(format!("more than {MAX_TASKS} tasks"));
+    }
+    if !spec.is_sound() {
+        return Err("a step has no task or follows a later step".to_string());
+    }
+    Ok(spec)
+}
+
+fn step(step: Step) -> StepSpec {
+    StepSpec {
+        tasks: step.count,
+        need: resources(step.cpu, step.mem_mb, step.gpu),
+        estimate: Millis(whole(step.estimate_ms)),
+        after: step.after,
+        checkpoints: step.checkpoint,
+        gang: step.gang,
+        rack_local: step.rack_local,
+        requires: (!step.requires.is_empty()).then_some(step.requires),
+        rack: (!step.affinity.is_empty()).then_some(step.affinity),
+        max_per_worker: (step.anti_affinity > 0).then_some(step.anti_affinity),
+        speculative: step.speculative,
+        lasting: step.long_running,
+        image: step.image,
+        tail_target: (step.target_ms > 0.0).then(|| Millis(whole(step.target_ms))),
+        fills: step.fills,
+        allow_miss: (step.allow_miss > 0).then_some(step.allow_miss),
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,17 +1,15 @@
-//! The platform's services as traits, with adapters that reach them over HTTP.
+//! Adapter to the users' platform: its names, formats and calls. It decides nothing.
 
-mod http_agent;
-mod http_store;
-mod http_vm_list;
+mod config;
+mod entry;
+mod job;
+mod names;
+mod settings;
 mod store;
-mod vm_list;
-mod wall_clock;
-mod worker_agent;
+mod wire;
+mod workers;
 
-pub use http_agent::HttpAgent;
-pub use http_store::HttpStore;
-pub use http_vm_list::HttpVmList;
-pub use store::{CasOutcome, Expected, Record, Store, StoreCall};
-pub use vm_list::VmList;
-pub use wall_clock::{WallClock, wall_clock};
-pub use worker_agent::{AgentCommand, WorkerAgent};
+pub use names::Names;
+pub use settings::read_settings;
+pub use store::KvClient;
+pub use workers::WorkerClient;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,118 +1,189 @@
-//! The platform's key-value service.
+//! Client of the platform's key-value service.
 
 use async_trait::async_trait;
+use http::{Method, StatusCode};
+use serde::de::DeserializeOwned;
 
+use super::wire::{
+    WireEvents, WireExpected, WireItem, WireLease, WirePage, WireRev, WireTxn, WireWrite,
+    decode_value, encode_value,
+};
+use crate::entry::{Change, Item, News, Outcome, Page, StateStore, Transaction};
 use crate::prelude::*;
+use crate::web::{Link, LinkError, LinkRequest};
 
-/// A record as the key-value service holds it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Record {
-    /// Key of the record.
-    pub key: String,
-    /// Value, up to 1 MB.
-    pub value: Vec<u8>,
-    /// Revision of the last change; it grows with every change of any record.
-    pub revision: Revision,
-    /// Lease that the record is bound to; the record vanishes with it.
-    pub lease: Option<String>,
+/// Time for a read, well above the slow answers of a store under trouble (240 ms).
+const READ_TIMEOUT: Millis = Millis(800);
+
+/// Time on top of a watch's own wait.
+const WATCH_MARGIN: Millis = Millis(700);
+
+/// Calls the store at one address.
+pub struct KvClient {
+    link: Link,
 }
 
-/// What a compare-and-swap expects to find.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub enum Expected {
-    /// No record with the key.
-    Absent,
-    /// The record at exactly this revision.
-    At(Revision),
+impl KvClient {
+    /// Creates a client without opening a connection.
+    pub fn new(address: String) -> Self {
+        Self {
+            link: Link::new(address),
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Millis,
+    ) -> Result<(StatusCode, bytes::Bytes), StoreError> {
+        let req = LinkRequest {
+            method,
+            path,
+            headers: &[("content-type", "application/json".to_string())],
+            body,
+            timeout,
+        };
+        let (status, _, body) = self.link.call(req).await.map_err(|err| match err {
+            LinkError::NotSent(_) => StoreError::Unavailable(err.to_string()),
+            LinkError::NoAnswer(_) => StoreError::AnswerLost(err.to_string()),
+        })?;
+        match status {
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                Err(StoreError::Unavailable(format!("status {status}")))
+            }
+            status if status.is_server_error() => {
+                Err(StoreError::AnswerLost(format!("status {status}")))
+            }
+            _ => Ok((status, body)),
+        }
+    }
 }
 
-/// What a compare-and-swap did.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub enum CasOutcome {
-    /// The value was written at this revision.
-    Written(Revision),
-    /// Nothing was written; this is the record that was found.
-    Conflict(Option<Record>),
+fn parse<T: DeserializeOwned>(status: StatusCode, body: &[u8]) -> Result<T, StoreError> {
+    if !matches!(status, StatusCode::OK | StatusCode::PRECONDITION_FAILED) {
+        return Err(StoreError::Invalid(format!(
+            "status {status}: {}",
+            String::from_utf8_lossy(body)
+        )));
+    }
+    serde_json::from_slice(body).map_err(|err| StoreError::Invalid(err.to_string()))
 }
 
-/// A call on the wire between `HttpStore` and a service that speaks its format.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
-pub enum StoreCall {
-    /// Reads one record.
-    Get {
-        /// Key of the record.
-        key: String,
-    },
-    /// Reads all records whose key starts with a prefix.
-    List {
-        /// Start of the keys.
-        prefix: String,
-    },
-    /// Writes a record if it is as expected.
-    Cas {
-        /// Key of the record.
-        key: String,
-        /// What must be found.
-        expected: Expected,
-        /// New value; `None` deletes the record.
-        value: Option<Vec<u8>>,
-        /// Lease to bind the record to.
-        lease: Option<String>,
-    },
-    /// Grants a lease, or extends it if it exists.
-    KeepLease {
-        /// Name of the lease.
-        lease: String,
-        /// Time to live.
-        ttl: Millis,
-        /// Whether an unknown lease is granted anew.
-        create: bool,
-    },
-    /// Waits until a record with the prefix changes after a revision.
-    Watch {
-        /// Start of the keys.
-        prefix: String,
-        /// Last revision that the caller has seen.
-        after: Revision,
-        /// Longest wait.
-        wait: Millis,
-    },
+fn item(wire: WireItem) -> Result<Item, StoreError> {
+    Ok(Item {
+        value: decode_value(&wire.value).map_err(StoreError::Invalid)?,
+        key: wire.key,
+        revision: wire.rev,
+    })
 }
 
-/// Key-value service with compare-and-swap, leases and watches.
-///
-/// Every call counts against the service's rates, a waiting watch as one.
 #[async_trait]
-pub trait Store: Send + Sync {
-    /// Reads one record.
-    async fn get(&self, key: &str) -> Result<Option<Record>, StoreError>;
+impl StateStore for KvClient {
+    async fn get(&self, key: &str, timeout: Millis) -> Result<(Option<Item>, u64), StoreError> {
+        let path = format!("/kv-key?key={key}");
+        let (status, body) = self.call(Method::GET, &path, Vec::new(), timeout).await?;
+        if status == StatusCode::NOT_FOUND {
+            let at = serde_json::from_slice::<WireItem>(&body).map_or(0, |wire| wire.at);
+            return Ok((None, at));
+        }
+        let wire: WireItem = parse(status, &body)?;
+        let at = wire.at;
+        Ok((Some(item(wire)?), at))
+    }
 
-    /// Reads all records whose key starts with `prefix`, in key order.
-    async fn list(&self, prefix: &str) -> Result<Vec<Record>, StoreError>;
+    async fn page(&self, prefix: &str, after: &str) -> Result<Page, StoreError> {
+        let path = if after.is_empty() {
+            format!("/kv-range?prefix={prefix}")
+        } else {
+            format!("/kv-range?prefix={prefix}&after={after}")
+        };
+        let (status, body) = self
+            .call(Method::GET, &path, Vec::new(), READ_TIMEOUT)
+            .await?;
+        let wire: WirePage = parse(status, &body)?;
+        Ok(Page {
+            items: wire.items.into_iter().map(item).collect::<Result<_, _>>()?,
+            truncated: wire.truncated,
+            at: wire.at,
+        })
+    }
 
-    /// Writes `value` if the record is as expected; `None` deletes it.
-    async fn cas(
-        &self,
-        key: &str,
-        expected: Expected,
-        value: Option<Vec<u8>>,
-        lease: Option<&str>,
-    ) -> Result<CasOutcome, StoreError>;
+    async fn watch(&self, prefix: &str, after: u64, wait: Millis) -> Result<News, StoreError> {
+        let path = format!("/kv-watch?prefix={prefix}&after={after}&waitMs={wait}");
+        let (status, body) = self
+            .call(Method::GET, &path, Vec::new(), wait + WATCH_MARGIN)
+            .await?;
+        if status == StatusCode::GONE {
+            return Ok(News::Lost);
+        }
+        let wire: WireEvents = parse(status, &body)?;
+        let changes = wire
+            .events
+            .into_iter()
+            .map(|event| {
+                Ok(if event.deleted {
+                    Change::Removed(event.key)
+                } else {
+                    Change::Put(item(event)?)
+                })
+            })
+            .collect::<Result<_, StoreError>>()?;
+        Ok(News::Changes(changes, wire.at))
+    }
 
-    /// Extends a lease, or grants it if `create` is set; `false` means that it has lapsed.
-    async fn keep_lease(&self, lease: &str, ttl: Millis, create: bool) -> Result<bool, StoreError>;
+    async fn commit(&self, txn: &Transaction, timeout: Millis) -> Result<Outcome, StoreError> {
+        let wire = WireTxn {
+            expected_rev: txn
+                .expected
+                .iter()
+                .map(|(key, rev)| WireExpected { key, rev: *rev })
+                .collect(),
+            writes: txn
+                .writes
+                .iter()
+                .map(|(key, value, lease)| WireWrite {
+                    key,
+                    value: encode_value(value),
+                    lease_id: *lease,
+                })
+                .collect(),
+            remove: &txn.removes,
+        };
+        let body = serde_json::to_vec(&wire).map_err(|err| StoreError::Invalid(err.to_string()))?;
+        let (status, body) = self.call(Method::POST, "/kv-txn", body, timeout).await?;
+        match status {
+            StatusCode::NOT_FOUND => Ok(Outcome::NoLease),
+            StatusCode::PRECONDITION_FAILED => {
+                let wire: WirePage = parse(status, &body)?;
+                let found = wire.items.into_iter().filter(|found| found.rev > 0);
+                Ok(Outcome::Conflict(
+                    found.map(item).collect::<Result<_, _>>()?,
+                ))
+            }
+            _ => Ok(Outcome::Done(parse::<WireRev>(status, &body)?.rev)),
+        }
+    }
 
-    /// Waits up to `wait` for a change after `after`; returns the changed records, if any.
-    async fn watch(
-        &self,
-        prefix: &str,
-        after: Revision,
-        wait: Millis,
-    ) -> Result<Vec<Record>, StoreError>;
+    async fn grant(&self, ttl: Millis) -> Result<u64, StoreError> {
+        let body = format!("{{\"ttlMs\":{ttl}}}").into_bytes();
+        let (status, body) = self
+            .call(Method::POST, "/kv-lease", body, READ_TIMEOUT)
+            .await?;
+        Ok(parse::<WireLease>(status, &body)?.lease_id)
+    }
+
+    async fn renew(&self, lease: u64, timeout: Millis) -> Result<bool, StoreError> {
+        let path = format!("/kv-keep/{lease}");
+        let (status, body) = self.call(Method::POST, &path, Vec::new(), timeout).await?;
+        match status {
+            StatusCode::NOT_FOUND => Ok(false),
+            StatusCode::OK => Ok(true),
+            _ => Err(StoreError::Invalid(format!(
+                "status {status}: {}",
+                String::from_utf8_lossy(&body)
+            ))),
+        }
+    }
 }
--- a/src/records/written.rs
+++ b/src/records/written.rs
@@ -6,8 +6,8 @@
 use serde::de::DeserializeOwned;
 
 use super::WriterTokens;
-use crate::platform::{CasOutcome, Expected, Record, Store};
 use crate::prelude::*;
+use crate::provider::{CasOutcome, Expected, Record, Store};
 use crate::web::{decode, encode};
 
 /// Writes and reads that resolve one lost answer.
--- /dev/null
+++ b/src/scheduler/mod.rs
@@ -0,0 +1,28 @@
+//! Decisions of the leader: which task runs on which worker, and what becomes of every run.
+//!
+//! Plain state and plain functions: time and answers are passed in, orders are taken out.
+
+mod blame;
+mod commit;
+mod intake;
+mod job;
+mod order;
+mod plan;
+mod queue;
+mod record;
+mod report;
+mod scheduler;
+mod sharing;
+mod spec;
+mod tick;
+mod worker;
+
+pub use commit::{Batch, RecordWrite};
+pub use job::{Job, JobView, Phase};
+pub use order::{HoldPlan, Order, StartAnswer, StartOrder, StopOrder};
+pub use queue::{Queue, QueueTable};
+pub use record::{JobRecord, Place, TaskRecord};
+pub use report::{EndKind, Ended, Report, Running};
+pub use scheduler::{Scheduler, Timing};
+pub use spec::{JobSpec, Repeat, StepSpec, TaskKey};
+pub use worker::{Worker, WorkerEntry};
--- /dev/null
+++ b/src/scheduler/plan.rs
@@ -0,0 +1,204 @@
+//! Chooses the next tasks and their workers.
+
+use std::collections::HashMap;
+
+use super::scheduler::new_run;
+use super::worker::RunState;
+use super::{Job, Queue, Scheduler, StepSpec, Worker};
+use crate::prelude::*;
+
+/// Most tasks that one round assigns, so that a round stays short on a small machine.
+const MAX_ASSIGNED: usize = 200;
+
+/// A job whose objective has passed this many times over earns nothing more.
+const WORTHLESS_FACTOR: u64 = 3;
+
+/// Weight of a serving task beside a task that fills, in millicores of lost idle time.
+const SERVING_PENALTY: u64 = 24_000;
+
+/// Rank of a job among all that wait; the lowest goes first.
+type Rank = (u32, u8, Millis);
+
+impl Scheduler {
+    /// Assigns ready tasks to workers; their starts follow once the records are durable.
+    pub fn plan(&mut self, now: Millis) -> usize {
+        if !self.replan || !self.may_start {
+            return 0;
+        }
+        self.replan = false;
+        let mut ranked: Vec<(Rank, JobId)> = self
+            .active
+            .iter()
+            .filter_map(|id| self.jobs.get(id))
+            .filter_map(|job| Some((self.rank(job, now)?, job.id.clone())))
+            .collect();
+        ranked.sort();
+        let mut assigned = 0;
+        for (_, id) in ranked {
+            if assigned >= MAX_ASSIGNED {
+                self.replan = true;
+                break;
+            }
+            assigned += self.plan_job(&id, now);
+        }
+        assigned
+    }
+
+    fn rank(&self, job: &Job, now: Millis) -> Option<Rank> {
+        let queue = self.queues.queues.get(&job.spec.queue)?;
+        let worthless = job.objective_at + job.span.scale_permille((WORTHLESS_FACTOR - 1) * 1000);
+        let late = if now > worthless {
+            2
+        } else {
+            u8::from(now > job.objective_at)
+        };
+        Some((queue.priority, late, job.objective_at))
+    }
+
+    fn plan_job(&mut self, id: &JobId, now: Millis) -> usize {
+        let Some(mut job) = self.jobs.remove(id) else {
+            return 0;
+        };
+        let queues = self.queues.clone();
+        let mut assigned = 0;
+        if let Some(queue) = queues.queues.get(&job.spec.queue) {
+            for unit in 0..job.units.len() {
+                if job.units[unit].done == job.units[unit].tasks.len() || !job.is_ready(unit, now) {
+                    continue;
+                }
+                assigned += self.plan_unit(&mut job, queue, unit, now);
+            }
+        }
+        if assigned > 0 {
+            job.version += 1;
+            self.dirty.insert(id.clone());
+        }
+        self.jobs.insert(id.clone(), job);
+        assigned
+    }
+
+    fn plan_unit(&mut self, job: &mut Job, queue: &Queue, unit: usize, now: Millis) -> usize {
+        let step = job.step(unit).clone();
+        let open: Vec<usize> = job.units[unit]
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, task)| !task.done && task.place.is_none())
+            .map(|(index, _)| index)
+            .collect();
+        if step.gang && open.len() < job.units[unit].tasks.len() {
+            return 0;
+        }
+        let mut chosen: HashMap<WorkerId, u32> = HashMap::new();
+        for task in &job.units[unit].tasks {
+            if let Some(place) = &task.place {
+                *chosen.entry(place.worker.clone()).or_default() += 1;
+            }
+        }
+        let gang_run = job.units[unit].tasks.iter().map(|task| task.run).max();
+        let mut placed = Vec::new();
+        for index in open {
+            let last_chance = job.units[unit].tasks[index].failures + 1 >= queue.max_attempts
+                && job.units[unit].tasks[index].failures > 0;
+            let Some(worker) = self.choose(&step, queue, &chosen, last_chance, now) else {
+                break;
+            };
+            let key = job.key(unit, index);
+            let Some(found) = self.workers.get_mut(&worker) else {
+                break;
+            };
+            let place = found.place();
+            let task = &mut job.units[unit].tasks[index];
+            task.run = match gang_run {
+                Some(run) if step.gang => run + 1,
+                _ => task.run + 1,
+            };
+            task.place = Some(place);
+            let number = task.run;
+            let mut run = new_run(job, unit, number, now);
+            run.state = RunState::Planned {
+                version: job.version + 1,
+            };
+            found.insert(key.clone(), run);
+            *chosen.entry(worker.clone()).or_default() += 1;
+            placed.push((worker, key, index));
+        }
+        if step.gang && placed.len() < job.units[unit].tasks.len() {
+            for (worker, key, index) in placed {
+                if let Some(found) = self.workers.get_mut(&worker) {
+                    found.drop_run(&key);
+                }
+                job.units[unit].tasks[index].place = None;
+            }
+            return 0;
+        }
+        placed.len()
+    }
+
+    /// Picks the best worker that has room for one task of `step`.
+    fn choose(
+        &self,
+        step: &StepSpec,
+        queue: &Queue,
+        chosen: &HashMap<WorkerId, u32>,
+        last_chance: bool,
+        now: Millis,
+    ) -> Option<WorkerId> {
+        let room = step.room();
+        self.workers
+            .values()
+            .filter(|worker| {
+                worker.fenced
+                    && worker.misses == 0
+                    && worker.entry.as_ref().is_some_and(|entry| {
+                        !entry.draining
+                            && entry.service == queue.service
+                            && entry.born == worker.born
+                    })
+            })
+            .filter(|worker| room.fits(&worker.free()))
+            .filter(|worker| {
+                step.requires
+                    .as_ref()
+                    .is_none_or(|label| worker.has_label(label))
+            })
+            .filter(|worker| {
+                step.max_per_worker
+                    .is_none_or(|most| chosen.get(&worker.id).copied().unwrap_or(0) < most)
+            })
+            .filter(|worker| !worker.blame.is_resting(now))
+            .filter(|worker| !worker.blame.is_suspect() || (!last_chance && worker.runs.len() < 2))
+            .min_by_key(|worker| {
+                let cost = self.cost(worker, step, now)
+                    + u64::from(worker.blame.is_suspect()) * SERVING_PENALTY;
+                (cost, worker.id.clone())
+            })
+            .map(|worker| worker.id.clone())
+    }
+
+    /// Lower is better: work with reserved processors is packed, work that fills is spread over
+    /// idle processors away from tasks that serve.
+    fn cost(&self, worker: &Worker, step: &StepSpec, now: Millis) -> u64 {
+        let free = worker.free().cpu.0;
+        let away = match (&step.rack, worker.rack()) {
+            (Some(rack), Some(own)) if rack != own => 200_000,
+            _ => 0,
+        };
+        if step.fills {
+            let idle = free.saturating_sub(worker.filling.0);
+            let serving = u64::from(worker.serving) * SERVING_PENALTY;
+            let harmed = if worker.tail.is_harmed(now) {
+                400_000
+            } else {
+                0
+            };
+            return away + harmed + 200_000u64.saturating_sub(idle) + serving;
+        }
+        let beside = if step.serves() {
+            worker.filling.0 * 2
+        } else {
+            worker.filling.0 / 2
+        };
+        away + beside + free.saturating_sub(step.need.cpu.0)
+    }
+}
--- /dev/null
+++ b/src/scheduler/scheduler.rs
@@ -0,0 +1,420 @@
+//! All state of a leader, and what changes it from outside.
+
+use std::collections::{BTreeSet, HashMap};
+
+use super::worker::{Run, RunState};
+use super::{
+    HoldPlan, Job, JobRecord, JobSpec, JobView, Order, Phase, QueueTable, StopOrder, TaskKey,
+    Worker, WorkerEntry,
+};
+use crate::prelude::*;
+
+/// Times that the site sets.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Timing {
+    /// Lease that workers are given for their runs.
+    pub run_lease: Millis,
+    /// Time after a takeover at which the runs of a silent worker have lapsed, whatever the
+    /// former leader still did.
+    pub takeover_lapse: Millis,
+    /// How long callers may ask for a job that has ended.
+    pub keep_ended: Millis,
+    /// Time over its target after which a serving task counts as harmed.
+    pub harm: Millis,
+}
+
+/// Longest wait of a worker for an end before it answers.
+const HOLD_WAIT: Millis = Millis(900);
+
+/// Pause between two reads while ends wait for the store.
+const UNSEEN_PAUSE: Millis = Millis(200);
+
+/// Shortest time between two reads of a worker; ends that come together share a read.
+const READ_GAP: Millis = Millis(20);
+
+/// Pause of a worker that runs nothing.
+const IDLE_PAUSE: Millis = Millis(3000);
+
+/// Allowance for the rate of a worker's clock, in thousandths.
+pub(super) const CLOCK_DRIFT_PERMILLE: u64 = 25;
+
+/// The leader's state.
+pub struct Scheduler {
+    pub(super) timing: Timing,
+    pub(super) fence: u64,
+    pub(super) began: Millis,
+    pub(super) jobs: HashMap<JobId, Job>,
+    pub(super) workers: HashMap<WorkerId, Worker>,
+    pub(super) queues: Arc<QueueTable>,
+    pub(super) fresh: Vec<WorkerId>,
+    pub(super) orders: Vec<Order>,
+    pub(super) dirty: BTreeSet<JobId>,
+    pub(super) active: BTreeSet<JobId>,
+    pub(super) replan: bool,
+    pub(super) may_start: bool,
+}
+
+impl Scheduler {
+    /// Creates the state of a leader that took over at `now`.
+    pub fn new(timing: Timing, fence: u64, queues: Arc<QueueTable>, now: Millis) -> Self {
+        Self {
+            timing,
+            fence,
+            began: now,
+            jobs: HashMap::new(),
+            workers: HashMap::new(),
+            queues,
+            fresh: Vec::new(),
+            orders: Vec::new(),
+            dirty: BTreeSet::new(),
+            active: BTreeSet::new(),
+            replan: true,
+            may_start: true,
+        }
+    }
+
+    /// Sets whether the leader's authority allows new starts.
+    pub fn allow_starts(&mut self, allowed: bool) {
+        self.replan |= allowed && !self.may_start;
+        self.may_start = allowed;
+    }
+
+    /// Puts a configuration in force.
+    pub fn set_queues(&mut self, queues: Arc<QueueTable>) {
+        self.queues = queues;
+        self.replan = true;
+    }
+
+    /// Adds an accepted job, with its record if a former leader has written one.
+    pub fn add_job(
+        &mut self,
+        id: JobId,
+        spec: JobSpec,
+        record: Option<(JobRecord, u64)>,
+        now: Millis,
+        wall: Timestamp,
+    ) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let mut job = Job::new(id.clone(), Arc::new(spec), now, wall);
+        job.span = match self.queues.queues.get(&job.spec.queue) {
+            Some(queue) => queue.objective(job.spec.chain()),
+            None => job.spec.chain().scale_permille(1500),
+        };
+        let age = Millis(wall.0.saturating_sub(job.spec.submitted.0));
+        job.objective_at = (now + job.span) - age.min(now);
+        if let Some((record, revision)) = &record
+            && !job.restore(record, *revision)
+        {
+            tracing::error!(job = %id, "record does not match the job; its tasks start anew");
+        }
+        for unit in 0..job.units.len() {
+            for index in 0..job.units[unit].tasks.len() {
+                let task = &job.units[unit].tasks[index];
+                let (Some(place), run) = (task.place.clone(), task.run) else {
+                    continue;
+                };
+                let key = job.key(unit, index);
+                let mut entry = new_run(&job, unit, run, now);
+                entry.state = RunState::Placed;
+                entry.settled = Some(Millis::ZERO);
+                let worker = self.worker(&place.worker, place.born);
+                worker.insert(key, entry);
+            }
+        }
+        if job.is_active() {
+            self.active.insert(id.clone());
+        }
+        self.jobs.insert(id, job);
+        self.replan = true;
+    }
+
+    pub(super) fn worker(&mut self, id: &WorkerId, born: u64) -> &mut Worker {
+        let fresh = &mut self.fresh;
+        self.workers.entry(id.clone()).or_insert_with(|| {
+            fresh.push(id.clone());
+            Worker {
+                id: id.clone(),
+                born,
+                ..Worker::default()
+            }
+        })
+    }
+
+    /// Takes the ids of workers that have become known.
+    pub fn new_workers(&mut self) -> Vec<WorkerId> {
+        std::mem::take(&mut self.fresh)
+    }
+
+    /// Cancels a job: its runs are stopped and none begins any more.
+    pub fn cancel(&mut self, id: &JobId, now: Millis, wall: Timestamp) {
+        if self.jobs.get(id).is_some_and(Job::is_active) {
+            tracing::info!(job = %id, "job cancelled");
+            self.end_job(id, Phase::Cancelled, now, wall);
+        }
+    }
+
+    /// Ends a job in `phase` and stops what is left of it.
+    pub(super) fn end_job(&mut self, id: &JobId, phase: Phase, now: Millis, wall: Timestamp) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.phase = phase;
+        job.ended = wall;
+        job.version += 1;
+        self.dirty.insert(id.clone());
+        self.active.remove(id);
+        self.replan = true;
+        let mut stops = Vec::new();
+        for unit in 0..job.units.len() {
+            for index in 0..job.units[unit].tasks.len() {
+                if let Some(place) = job.units[unit].tasks[index].place.clone() {
+                    stops.push((place.worker, job.key(unit, index)));
+                }
+            }
+        }
+        for (worker, key) in stops {
+            self.stop(&worker, &key, now);
+        }
+    }
+
+    /// Ends a run; its room stays taken until the worker has confirmed the end.
+    pub(super) fn stop(&mut self, worker: &WorkerId, key: &TaskKey, now: Millis) {
+        let Some(found) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let Some(run) = found.runs.get_mut(key) else {
+            return;
+        };
+        match run.state {
+            RunState::Planned { .. } => {
+                let number = run.run;
+                let place = found.place();
+                found.drop_run(key);
+                if let Some(job) = self.jobs.get_mut(&key.job)
+                    && job.release(key, &place, number)
+                {
+                    self.dirty.insert(key.job.clone());
+                }
+            }
+            RunState::Stopping => {}
+            RunState::Sent | RunState::Placed => {
+                run.state = RunState::Stopping;
+                run.settled = None;
+                self.call_stop(worker, key, now);
+            }
+        }
+    }
+
+    pub(super) fn call_stop(&mut self, worker: &WorkerId, key: &TaskKey, now: Millis) {
+        let Some(found) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let address = found.address.clone();
+        if let Some(run) = found.runs.get_mut(key)
+            && !address.is_empty()
+        {
+            run.called = now;
+            run.calling = true;
+            self.orders.push(Order::Stop(StopOrder {
+                worker: worker.clone(),
+                address,
+                task: key.clone(),
+                run: run.run,
+                fence: self.fence,
+            }));
+        }
+    }
+
+    /// Notes what a worker says of itself in the store.
+    pub fn set_entry(&mut self, entry: WorkerEntry, now: Millis) {
+        let worker = self.worker(&entry.id, entry.born);
+        let reborn = entry.born > worker.born;
+        let older = entry.born < worker.born;
+        if older {
+            return;
+        }
+        let changed = worker.entry.as_ref() != Some(&entry);
+        let draining = entry.draining && !worker.entry.as_ref().is_some_and(|known| known.draining);
+        worker.address.clone_from(&entry.address);
+        let id = entry.id.clone();
+        worker.entry = Some(entry.clone());
+        if changed {
+            tracing::info!(worker = %id, born = entry.born, draining = entry.draining, "worker entry");
+            self.replan = true;
+        }
+        if reborn {
+            self.reborn(&id, entry.born, now);
+        }
+        if draining {
+            self.leave_draining(&id, now);
+        }
+    }
+
+    /// Notes that a worker has no entry any more; its runs stay until they have lapsed.
+    pub fn remove_entry(&mut self, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            tracing::info!(worker = %id, runs = worker.runs.len(), "worker entry is gone");
+            worker.entry = None;
+        }
+    }
+
+    /// Removes the entries of workers that a full read of the store does not show.
+    pub fn retain_entries(&mut self, ids: &BTreeSet<WorkerId>) {
+        let gone: Vec<WorkerId> = self
+            .workers
+            .values()
+            .filter(|worker| worker.entry.is_some() && !ids.contains(&worker.id))
+            .map(|worker| worker.id.clone())
+            .collect();
+        for id in gone {
+            self.remove_entry(&id);
+        }
+    }
+
+    /// Starts a new life of a worker: nothing of the old one runs any more.
+    pub(super) fn reborn(&mut self, id: &WorkerId, born: u64, now: Millis) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        tracing::info!(worker = %id, born, runs = worker.runs.len(), "worker has started anew");
+        let place = worker.place();
+        worker.born = born;
+        worker.fenced = false;
+        worker.clock = None;
+        worker.lease = Millis::ZERO;
+        worker.handled = 0;
+        worker.seen = 0;
+        worker.unseen.clear();
+        worker.misses = 0;
+        let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
+        for key in keys {
+            let Some(run) = worker.runs.get_mut(&key) else {
+                continue;
+            };
+            // An unanswered start may still be carried out by the new life.
+            if matches!(run.state, RunState::Sent) && run.calling {
+                run.state = RunState::Stopping;
+                run.settled = None;
+                run.called = now;
+                continue;
+            }
+            let number = run.run;
+            worker.drop_run(&key);
+            if let Some(job) = self.jobs.get_mut(&key.job)
+                && job.release(&key, &place, number)
+            {
+                self.dirty.insert(key.job.clone());
+            }
+        }
+        for (key, run) in &worker.runs {
+            if let Some(job) = self.jobs.get_mut(&key.job)
+                && let Some(task) = job.task_mut(key)
+                && task.run == run.run
+                && let Some(place) = &mut task.place
+            {
+                place.born = born;
+                job.version += 1;
+                self.dirty.insert(key.job.clone());
+            }
+        }
+        self.replan = true;
+    }
+
+    /// Tells what to ask of a worker next.
+    pub fn hold_plan(&mut self, id: &WorkerId, now: Millis) -> HoldPlan {
+        let lease = self.timing.run_lease;
+        let fence = self.fence;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return HoldPlan::Forget;
+        };
+        if worker.address.is_empty() {
+            return HoldPlan::Pause(UNSEEN_PAUSE);
+        }
+        if worker.entry.is_none() && worker.runs.is_empty() {
+            self.workers.remove(id);
+            return HoldPlan::Forget;
+        }
+        let gap = (worker.heard + READ_GAP).since(now);
+        if worker.fenced && gap > Millis::ZERO && worker.misses == 0 {
+            return HoldPlan::Pause(gap);
+        }
+        let waiting = worker.handled > worker.seen;
+        if worker.fenced && worker.runs.is_empty() && !waiting && worker.misses == 0 {
+            return HoldPlan::Pause(IDLE_PAUSE);
+        }
+        let deadline = worker.clock_at(now).map(|clock| clock + lease);
+        if let Some(deadline) = deadline
+            && worker.fenced
+        {
+            worker.lease = worker.lease.max(deadline);
+        }
+        HoldPlan::Call {
+            address: worker.address.clone(),
+            fence,
+            last_seen: worker.seen,
+            deadline: deadline.filter(|_| worker.fenced),
+            wait: if worker.fenced && !waiting && worker.misses == 0 {
+                HOLD_WAIT
+            } else {
+                Millis::ZERO
+            },
+        }
+    }
+
+    /// Tells how long to wait after an answer whose ends the store has not yet recorded.
+    pub fn unseen_pause(&self, id: &WorkerId) -> Option<Millis> {
+        let worker = self.workers.get(id)?;
+        (worker.handled > worker.seen).then_some(UNSEEN_PAUSE)
+    }
+
+    /// Takes the orders that are ready to be sent.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Returns the state of a job as its caller sees it.
+    pub fn view(&self, id: &JobId) -> Option<JobView> {
+        self.jobs.get(id).map(Job::view)
+    }
+
+    /// Counts the jobs of a queue of which no task has started.
+    pub fn pending(&self, queue: &str) -> usize {
+        self.active
+            .iter()
+            .filter_map(|id| self.jobs.get(id))
+            .filter(|job| !job.begun && job.spec.queue == queue)
+            .count()
+    }
+
+    /// Counts active jobs, workers and runs.
+    pub fn summary(&self) -> (usize, usize, usize) {
+        let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
+        (self.active.len(), self.workers.len(), runs)
+    }
+}
+
+pub(super) fn new_run(job: &Job, unit: usize, run: u32, now: Millis) -> Run {
+    let step = job.step(unit);
+    Run {
+        run,
+        state: RunState::Sent,
+        room: step.room(),
+        cpu: step.need.cpu,
+        fills: step.fills,
+        lasting: step.lasting,
+        image: step.image.clone(),
+        target: step.tail_target,
+        settled: None,
+        called: now,
+        calling: false,
+        started: now,
+        percent: 0,
+        moved: now,
+        gauge: 0,
+        pace: 100,
+        paced: Millis::ZERO,
+        over: None,
+    }
+}
--- /dev/null
+++ b/src/scheduler/worker.rs
@@ -0,0 +1,161 @@
+//! A worker in the leader's memory.
+
+use std::collections::{HashMap, VecDeque};
+
+use super::blame::Blame;
+use super::sharing::Tail;
+use super::{Place, TaskKey};
+use crate::prelude::*;
+
+/// What a worker says of itself in the store.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct WorkerEntry {
+    /// Its id.
+    pub id: WorkerId,
+    /// Start of its life.
+    pub born: u64,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Where it is called.
+    pub address: String,
+    /// What it offers.
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    pub labels: Vec<String>,
+    /// It takes no new work.
+    pub draining: bool,
+}
+
+/// How far a run has come from the scheduler's point of view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RunState {
+    /// Waits for its record to be durable.
+    Planned { version: u64 },
+    /// The start is on its way or unanswered.
+    Sent,
+    /// The worker has it, or a former leader has recorded it.
+    Placed,
+    /// It is to end; the stop may be unanswered.
+    Stopping,
+}
+
+/// A run that takes room on a worker until it is known to be gone.
+#[derive(Clone, Debug)]
+pub(super) struct Run {
+    pub run: u32,
+    pub state: RunState,
+    pub room: Resources,
+    pub cpu: Millicores,
+    pub fills: bool,
+    pub lasting: bool,
+    pub image: String,
+    pub target: Option<Millis>,
+    /// A list that was asked for after this time is complete for this run.
+    pub settled: Option<Millis>,
+    pub called: Millis,
+    pub calling: bool,
+    pub started: Millis,
+    pub percent: u32,
+    pub moved: Millis,
+    pub gauge: u64,
+    pub pace: u32,
+    pub paced: Millis,
+    pub over: Option<Millis>,
+}
+
+/// A worker with everything that takes its room.
+#[derive(Clone, Debug, Default)]
+pub struct Worker {
+    pub(super) id: WorkerId,
+    pub(super) entry: Option<WorkerEntry>,
+    pub(super) address: String,
+    pub(super) born: u64,
+    /// It has answered under this leader's fence.
+    pub(super) fenced: bool,
+    pub(super) used: Resources,
+    pub(super) filling: Millicores,
+    pub(super) serving: u32,
+    pub(super) runs: HashMap<TaskKey, Run>,
+    /// Own time and the worker's clock at its last answer.
+    pub(super) clock: Option<(Millis, Millis)>,
+    /// Latest end of its lease that was ever sent, on its clock.
+    pub(super) lease: Millis,
+    pub(super) handled: u64,
+    pub(super) seen: u64,
+    pub(super) unseen: VecDeque<(u64, JobId, u64)>,
+    pub(super) heard: Millis,
+    pub(super) misses: u32,
+    pub(super) blame: Blame,
+    pub(super) tail: Tail,
+}
+
+impl Worker {
+    pub(super) fn place(&self) -> Place {
+        Place {
+            worker: self.id.clone(),
+            born: self.born,
+        }
+    }
+
+    pub(super) fn insert(&mut self, key: TaskKey, run: Run) {
+        self.drop_run(&key);
+        self.used = self.used.checked_add(&run.room).unwrap_or(self.used);
+        if run.fills {
+            self.filling = self.filling.saturating_add(run.cpu);
+        }
+        if run.target.is_some() {
+            self.serving += 1;
+        }
+        self.runs.insert(key, run);
+    }
+
+    pub(super) fn drop_run(&mut self, key: &TaskKey) -> Option<Run> {
+        let run = self.runs.remove(key)?;
+        self.used = self.used.saturating_sub(&run.room);
+        if run.fills {
+            self.filling = self.filling.saturating_sub(run.cpu);
+        }
+        if run.target.is_some() {
+            self.serving = self.serving.saturating_sub(1);
+        }
+        Some(run)
+    }
+
+    /// Capacity that nothing takes.
+    pub(super) fn free(&self) -> Resources {
+        let capacity = self
+            .entry
+            .as_ref()
+            .map(|entry| entry.capacity)
+            .unwrap_or_default();
+        capacity.saturating_sub(&self.used)
+    }
+
+    /// Estimates the worker's clock.
+    pub(super) fn clock_at(&self, now: Millis) -> Option<Millis> {
+        self.clock.map(|(at, clock)| clock + now.since(at))
+    }
+
+    /// Own time at which everything on it has lapsed, if nothing is renewed.
+    pub(super) fn lapses(&self, drift_permille: u64) -> Option<Millis> {
+        let (at, clock) = self.clock?;
+        Some(
+            at + self
+                .lease
+                .since(clock)
+                .scale_permille(1000 + drift_permille),
+        )
+    }
+
+    /// Returns its rack, which is the label that is not its kind.
+    pub(super) fn rack(&self) -> Option<&str> {
+        let entry = self.entry.as_ref()?;
+        entry.labels.get(1).map(String::as_str)
+    }
+
+    pub(super) fn has_label(&self, label: &str) -> bool {
+        self.entry
+            .as_ref()
+            .is_some_and(|entry| entry.labels.iter().any(|own| own == label))
+    }
+}
--- a/src/standin/kv.rs
+++ b/src/standin/kv.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::platform::{CasOutcome, Expected, Record};
 use crate::prelude::*;
+use crate::provider::{CasOutcome, Expected, Record};
 
 /// Largest value of a record.
 const MAX_VALUE_BYTES: usize = 1 << 20;
--- a/src/standin/kv_server.rs
+++ b/src/standin/kv_server.rs
@@ -10,8 +10,8 @@
 use tokio::time::Instant;
 
 use super::{Kv, StoreFaults};
-use crate::platform::{CasOutcome, Expected, Record, Store, StoreCall};
 use crate::prelude::*;
+use crate::provider::{CasOutcome, Expected, Record, Store, StoreCall};
 use crate::web::{WebReq, WebRes, WebService, decode, packed, read_body, text};
 
 /// Interval at which waiting watches look for lapsed leases.
--- a/src/standin/vms.rs
+++ b/src/standin/vms.rs
@@ -6,8 +6,8 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use crate::platform::VmList;
 use crate::prelude::*;
+use crate::provider::VmList;
 use crate::schema::vm::{VmRecord, VmRecords, VmState};
 use crate::web::{WebReq, WebRes, WebService, packed};
 
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -5,8 +5,8 @@
 use parking_lot::Mutex;
 
 use super::WorkerFaults;
-use crate::platform::AgentCommand;
 use crate::prelude::*;
+use crate::provider::AgentCommand;
 use crate::schema::worker::{
     AgentRefusal, AgentReply, StartTask, StopTask, TaskAttempt, TaskPhase, TaskReport, WorkerState,
 };
--- a/src/standin/worker_server.rs
+++ b/src/standin/worker_server.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 
 use super::{Checkpoints, Worker};
-use crate::platform::AgentCommand;
 use crate::prelude::*;
+use crate::provider::AgentCommand;
 use crate::schema::worker::AgentReply;
 use crate::web::{WebReq, WebRes, WebService, decode, packed, read_body, text};
 
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -2,4 +2,4 @@
 
 mod logs;
 
-pub use logs::init_logs;
+pub use logs::{init_json_logs, init_logs};
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -2,12 +2,14 @@
 
 mod caller;
 mod codec;
+mod link;
 mod routes;
 mod server;
 mod service;
 
 pub use caller::Caller;
 pub use codec::{decode, encode};
+pub use link::{Link, LinkError, LinkRequest};
 pub use routes::Routes;
 pub use server::Server;
 pub use service::{WebReq, WebRes, WebService, packed, read_body, text};
--- a/tests/audit.rs
+++ b/tests/audit.rs
@@ -4,8 +4,8 @@
 
 use bundle_support::*;
 use sapphirecroft::audit::{AuditDraft, KEPT_SEGMENTS, SEGMENT_ENTRIES};
-use sapphirecroft::platform::{Expected, Store};
 use sapphirecroft::prelude::*;
+use sapphirecroft::provider::{Expected, Store};
 use sapphirecroft::records::{AUDIT_OPEN, audit_segment};
 use sapphirecroft::schema::config::{AuditAction, AuditOutcome, AuditSegment};
 use sapphirecroft::standin::KvServer;
--- a/tests/batch_shard.rs
+++ b/tests/batch_shard.rs
@@ -4,8 +4,8 @@
 
 use batch_support::{id, job};
 use sapphirecroft::batch::{JobShard, StoreResult, StoreStep, job_id};
-use sapphirecroft::platform::{Expected, Record};
 use sapphirecroft::prelude::*;
+use sapphirecroft::provider::{Expected, Record};
 use sapphirecroft::schema::batch::{JobRecord, ShardRecord};
 use sapphirecroft::web::{decode, encode};
 
--- a/tests/batch_support/oracle.rs
+++ b/tests/batch_support/oracle.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sapphirecroft::batch::split_task;
-use sapphirecroft::platform::AgentCommand;
 use sapphirecroft::prelude::*;
+use sapphirecroft::provider::AgentCommand;
 use sapphirecroft::schema::batch::{JobPhase, JobRecord, ShardRecord};
 use sapphirecroft::schema::worker::{TaskPhase, TaskReport, WorkerState};
 use sapphirecroft::standin::Kv;
--- a/tests/batch_support/sim.rs
+++ b/tests/batch_support/sim.rs
@@ -6,8 +6,8 @@
 use sapphirecroft::bundle::BundleInForce;
 use sapphirecroft::membership::Ownership;
 use sapphirecroft::placement::{Fleet, RackOwner};
-use sapphirecroft::platform::{AgentCommand, CasOutcome, Expected};
 use sapphirecroft::prelude::*;
+use sapphirecroft::provider::{AgentCommand, CasOutcome, Expected};
 use sapphirecroft::schema::batch::{JobFilter, JobPhase, JobSpec};
 use sapphirecroft::schema::vm::VmRecord;
 use sapphirecroft::schema::worker::{AgentReply, WorkerState};
--- a/tests/bundle_follow.rs
+++ b/tests/bundle_follow.rs
@@ -7,8 +7,8 @@
 
 use bundle_support::*;
 use sapphirecroft::bundle::{ActiveBundle, BundleInForce, BundleNews, parse_bundle};
-use sapphirecroft::platform::Store;
 use sapphirecroft::prelude::*;
+use sapphirecroft::provider::Store;
 use tokio::time::Instant;
 
 /// P9: a signed-off bundle is in effect everywhere within this time.
--- a/tests/bundle_model.rs
+++ b/tests/bundle_model.rs
@@ -8,8 +8,8 @@
 
 use bundle_support::*;
 use proptest::prelude::*;
-use sapphirecroft::platform::Store;
 use sapphirecroft::prelude::*;
+use sapphirecroft::provider::Store;
 use sapphirecroft::schema::config::{Proposal, ProposalState, Release};
 use sapphirecroft::standin::KvServer;
 
--- a/tests/bundle_support/mod.rs
+++ b/tests/bundle_support/mod.rs
@@ -13,8 +13,8 @@
 use sapphirecroft::bundle::{
     ActiveBundle, BundleDesk, BundleKeeper, PrivateKey, Trust, digest_of, key_id, sign_ring,
 };
-use sapphirecroft::platform::{CasOutcome, Expected, Record, Store, WallClock};
 use sapphirecroft::prelude::*;
+use sapphirecroft::provider::{CasOutcome, Expected, Record, Store, WallClock};
 use sapphirecroft::records::Records;
 use sapphirecroft::schema::config::{
     KeyRing, OperatorKey, OperatorRecord, Proposal, ProposalView, ProposeRequest, ReviewRequest,
