Learn by image how much filling tasks disturb serving tasks

A linear model of the tail's logarithm per serving image is fitted by recursive least squares; placement keeps a headroom.

--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -9,7 +9,7 @@
 use crate::prelude::*;
 
 /// Time in which changes are gathered into one write; a tenth of the tightest objective's slack.
-const GATHER: Duration = Duration::from_millis(10);
+const GATHER: Duration = Duration::from_millis(12);
 
 /// Time for one write; a slow store answers within about 250 ms.
 const WRITE_TIMEOUT: Millis = Millis(600);
--- a/src/entry/leader.rs
+++ b/src/entry/leader.rs
@@ -30,8 +30,12 @@
 /// Time between two rounds of what only time changes.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Pause between two watches of the workers, whose heartbeats change many entries a second; a
+/// drain must be known within 2 s.
+const WORKERS_GATHER: Duration = Duration::from_millis(350);
+
 /// Writers of records; each has one transaction under way.
-const COMMITTERS: usize = 3;
+const COMMITTERS: usize = 2;
 
 /// A leader's state and the signals between its tasks.
 pub(super) struct Leader {
@@ -257,6 +261,7 @@
                         apply_worker(shared, sched, change, now);
                     }
                 });
+                tokio::time::sleep(WORKERS_GATHER).await;
             }
             Ok(News::Lost) => match load_workers(&leader).await {
                 Some(at) => after = at,
--- a/src/scheduler/intake.rs
+++ b/src/scheduler/intake.rs
@@ -344,7 +344,6 @@
             gauge: 0,
             pace: 100,
             paced: Millis::ZERO,
-            over: None,
         }
     }
 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 mod blame;
 mod commit;
 mod intake;
+mod interference;
 mod job;
 mod order;
 mod plan;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -13,8 +13,25 @@
 /// A job whose objective has passed this many times over earns nothing more.
 const WORTHLESS_FACTOR: u64 = 3;
 
-/// Weight of a serving task beside a task that fills, in millicores of lost idle time.
-const SERVING_PENALTY: u64 = 24_000;
+/// Cost of a worker on another rack than the data, in millicores left unused: such a task takes
+/// several times as long.
+const AWAY_COST: u64 = 200_000;
+
+/// Cost of a worker without idle processors, in millicores; more than any worker has.
+const BUSY_COST: u64 = 200_000;
+
+/// Cost of using up the headroom of serving tasks, per e-fold of their tail.
+const HEADROOM_COST: u64 = 30_000;
+
+/// Cost of a serving task of another image on the same worker: together they bear fewer tasks
+/// that fill.
+const OTHER_IMAGE_COST: u64 = 40_000;
+
+/// Cost of a worker without a serving task of the same image.
+const NEW_IMAGE_COST: u64 = 20_000;
+
+/// Cost of a worker whose last run failed.
+const SUSPECT_COST: u64 = 24_000;
 
 /// Rank of a job among all that wait; the lowest goes first.
 type Rank = (u32, u8, Millis);
@@ -168,37 +185,56 @@
             })
             .filter(|worker| !worker.blame.is_resting(now))
             .filter(|worker| !worker.blame.is_suspect() || (!last_chance && worker.runs.len() < 2))
-            .min_by_key(|worker| {
-                let cost = self.cost(worker, step, now)
-                    + u64::from(worker.blame.is_suspect()) * SERVING_PENALTY;
-                (cost, worker.id.clone())
+            .filter_map(|worker| {
+                let suspect = u64::from(worker.blame.is_suspect()) * SUSPECT_COST;
+                Some((self.cost(worker, step)? + suspect, &worker.id))
             })
-            .map(|worker| worker.id.clone())
+            .min()
+            .map(|(_, id)| id.clone())
     }
 
-    /// Lower is better: work with reserved processors is packed, work that fills is spread over
-    /// idle processors away from tasks that serve.
-    fn cost(&self, worker: &Worker, step: &StepSpec, now: Millis) -> u64 {
+    /// Lower is better. Work with reserved processors is packed, tasks that serve gather by
+    /// image, and tasks that fill go where they use idle processors and disturb least.
+    fn cost(&self, worker: &Worker, step: &StepSpec) -> Option<u64> {
         let free = worker.free().cpu.0;
         let away = match (&step.rack, worker.rack()) {
-            (Some(rack), Some(own)) if rack != own => 200_000,
+            (Some(rack), Some(own)) if rack != own => AWAY_COST,
             _ => 0,
         };
         if step.fills {
-            let idle = free.saturating_sub(worker.filling.0);
-            let serving = u64::from(worker.serving) * SERVING_PENALTY;
-            let harmed = if worker.tail.is_harmed(now) {
-                400_000
-            } else {
-                0
-            };
-            return away + harmed + 200_000u64.saturating_sub(idle) + serving;
+            let idle = worker.idle();
+            if idle < step.need.cpu.0 {
+                return None;
+            }
+            if worker.serving == 0 {
+                return Some(away + BUSY_COST.saturating_sub(idle));
+            }
+            let headroom = self.headroom(worker, step);
+            if headroom < 0.0 {
+                return None;
+            }
+            let noise =
+                HEADROOM_COST - (headroom * 10_000.0).clamp(0.0, HEADROOM_COST as f64) as u64;
+            return Some(away + BUSY_COST.saturating_sub(idle) / 2 + noise);
         }
-        let beside = if step.serves() {
-            worker.filling.0 * 2
-        } else {
-            worker.filling.0 / 2
-        };
-        away + beside + free.saturating_sub(step.need.cpu.0)
+        let left = free.saturating_sub(step.need.cpu.0);
+        if step.serves() {
+            let others = worker
+                .runs
+                .values()
+                .filter(|run| run.target.is_some() && run.image != step.image)
+                .count() as u64;
+            let same = worker
+                .runs
+                .values()
+                .any(|run| run.target.is_some() && run.image == step.image);
+            return Some(
+                away + others * OTHER_IMAGE_COST
+                    + left
+                    + u64::from(!same) * NEW_IMAGE_COST
+                    + worker.filling.0,
+            );
+        }
+        Some(away + left + worker.filling.0 / 2)
     }
 }
--- a/src/scheduler/scheduler.rs
+++ b/src/scheduler/scheduler.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 
+use super::interference::Interference;
 use super::worker::{Run, RunState};
 use super::{
     HoldPlan, Job, JobRecord, JobSpec, JobView, Order, Phase, QueueTable, StopOrder, TaskKey,
@@ -26,6 +27,9 @@
 /// Longest wait of a worker for an end before it answers.
 const HOLD_WAIT: Millis = Millis(900);
 
+/// Such a wait where tails have to be watched; the figures are of half a second.
+const SHARING_WAIT: Millis = Millis(500);
+
 /// Pause between two reads while ends wait for the store.
 const UNSEEN_PAUSE: Millis = Millis(200);
 
@@ -50,6 +54,7 @@
     pub(super) orders: Vec<Order>,
     pub(super) dirty: BTreeSet<JobId>,
     pub(super) active: BTreeSet<JobId>,
+    pub(super) interference: Interference,
     pub(super) replan: bool,
     pub(super) may_start: bool,
 }
@@ -68,6 +73,7 @@
             orders: Vec::new(),
             dirty: BTreeSet::new(),
             active: BTreeSet::new(),
+            interference: Interference::default(),
             replan: true,
             may_start: true,
         }
@@ -356,7 +362,11 @@
             last_seen: worker.seen,
             deadline: deadline.filter(|_| worker.fenced),
             wait: if worker.fenced && !waiting && worker.misses == 0 {
-                HOLD_WAIT
+                if worker.serving > 0 && worker.filling.0 > 0 {
+                    SHARING_WAIT
+                } else {
+                    HOLD_WAIT
+                }
             } else {
                 Millis::ZERO
             },
@@ -415,6 +425,5 @@
         gauge: 0,
         pace: 100,
         paced: Millis::ZERO,
-        over: None,
     }
 }
--- a/src/scheduler/sharing.rs
+++ b/src/scheduler/sharing.rs
@@ -1,93 +1,181 @@
 //! Keeps tasks that fill from harming tasks that serve on the same worker.
 
+use super::interference::Usage;
 use super::worker::RunState;
-use super::{Order, Scheduler, StopOrder, TaskKey};
+use super::{Order, Scheduler, StepSpec, StopOrder, TaskKey, Worker};
 use crate::prelude::*;
 
-/// Time after a harm in which no task that fills is added to the worker.
-const HARM_MEMORY: Millis = Millis(10_000);
-
 /// Shortest time between two changes of pace; the effect shows in figures of half a second.
-const PACE_GAP: Millis = Millis(600);
+const PACE_GAP: Millis = Millis(550);
 
 /// Share of a target, in thousandths, above which tasks that fill are slowed down.
-const SLOW_PERMILLE: u64 = 950;
+const SLOW_PERMILLE: u64 = 900;
 
 /// Share of a target, in thousandths, below which they are sped up again.
 const SPEED_PERMILLE: u64 = 600;
 
+/// Coefficient above which a pair counts as noisy.
+const NOISY_COEFFICIENT: f64 = 1.2;
+
 /// Steps of the pace, in percent.
-const PACES: [u32; 4] = [100, 50, 20, 0];
+const PACES: [u32; 3] = [100, 30, 0];
 
-/// What is known of the tails on one worker.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Tail {
-    harmed: Option<Millis>,
-}
+/// Time at pace 0 after which a run is moved to another worker.
+const MOVE_AFTER: Millis = Millis(900);
+
+/// Headroom, as a logarithm, that a placement leaves for the swing of a serving task's load.
+const SWING_HEADROOM: f64 = 0.45;
+
+/// Share of its reserved processors, in thousandths, that a serving task uses at its peak.
+const SERVING_USE_PERMILLE: u64 = 650;
+
+impl Worker {
+    /// Processors that tasks which fill can count on.
+    pub(super) fn idle(&self) -> u64 {
+        let capacity = self.entry.as_ref().map_or(0, |entry| entry.capacity.cpu.0);
+        let busy: u64 = self
+            .runs
+            .values()
+            .map(|run| {
+                if run.target.is_some() {
+                    run.room.cpu.0 * SERVING_USE_PERMILLE / 1000
+                } else if run.fills {
+                    run.cpu.0
+                } else {
+                    run.room.cpu.0
+                }
+            })
+            .sum();
+        capacity.saturating_sub(busy)
+    }
 
-impl Tail {
-    pub fn is_harmed(&self, now: Millis) -> bool {
-        self.harmed.is_some_and(|at| now.since(at) < HARM_MEMORY)
+    /// Shares of its processors that tasks which fill use now, or would at full pace.
+    fn uses(&self, full: bool) -> Vec<Usage> {
+        let capacity = self
+            .entry
+            .as_ref()
+            .map_or(1, |entry| entry.capacity.cpu.0.max(1));
+        self.runs
+            .values()
+            .filter(|run| run.fills)
+            .map(|run| {
+                let used = if full { run.cpu.0 } else { run.gauge };
+                (run.image.clone(), used as f64 / capacity as f64)
+            })
+            .collect()
     }
 }
 
 impl Scheduler {
-    /// Sets the pace of the tasks that fill by the worst tail beside them.
+    /// Predicts how far the worst tail stays below its target beside one more task of `step`;
+    /// a logarithm, negative if a target would be missed.
+    pub(super) fn headroom(&self, worker: &Worker, step: &StepSpec) -> f64 {
+        let mut uses = worker.uses(true);
+        let capacity = worker
+            .entry
+            .as_ref()
+            .map_or(1, |entry| entry.capacity.cpu.0.max(1));
+        if step.fills {
+            uses.push((step.image.clone(), step.need.cpu.0 as f64 / capacity as f64));
+        }
+        let present = worker
+            .runs
+            .values()
+            .filter_map(|run| Some((run.image.as_str(), run.target?)));
+        let coming = step.tail_target.map(|target| (step.image.as_str(), target));
+        present
+            .chain(coming)
+            .map(|(image, target)| {
+                (target.0 as f64).ln() - SWING_HEADROOM - self.interference.predict(image, &uses)
+            })
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// Learns from the tails on a worker and sets the pace of the tasks that fill beside them.
     pub(super) fn watch_sharing(&mut self, id: &WorkerId, now: Millis) {
-        let fence = self.fence;
-        let Some(worker) = self.workers.get_mut(id) else {
+        let Some(worker) = self.workers.get(id) else {
             return;
         };
         if worker.serving == 0 && worker.filling.0 == 0 {
             return;
         }
-        let worst = worker
-            .runs
-            .values()
-            .filter(|run| run.state == RunState::Placed && run.percent >= 100)
-            .filter_map(|run| Some(run.gauge * 1000 / run.target?.0.max(1)))
-            .max();
-        let fillers: Vec<TaskKey> = worker
+        let uses = worker.uses(false);
+        let mut worst: Option<(u64, String)> = None;
+        for run in worker.runs.values() {
+            let (Some(target), RunState::Placed) = (run.target, run.state) else {
+                continue;
+            };
+            if run.percent < 100 {
+                continue;
+            }
+            self.interference.learn(&run.image, run.gauge, &uses);
+            let share = run.gauge * 1000 / target.0.max(1);
+            if worst.as_ref().is_none_or(|(most, _)| share > *most) {
+                worst = Some((share, run.image.clone()));
+            }
+        }
+        let slower = worst
+            .as_ref()
+            .is_some_and(|(share, _)| *share > SLOW_PERMILLE);
+        let faster = worst
+            .as_ref()
+            .is_none_or(|(share, _)| *share < SPEED_PERMILLE);
+        let serving = worst.map(|(_, image)| image).unwrap_or_default();
+        let fillers: Vec<(TaskKey, f64)> = worker
             .runs
             .iter()
             .filter(|(_, run)| run.fills && run.state == RunState::Placed)
-            .map(|(key, _)| key.clone())
+            .map(|(key, run)| {
+                let noise = self.interference.coefficient(&serving, &run.image);
+                (key.clone(), noise)
+            })
             .collect();
-        let slower = worst.is_some_and(|share| share > SLOW_PERMILLE);
-        let faster = worst.is_none_or(|share| share < SPEED_PERMILLE);
-        if slower && !fillers.is_empty() {
-            worker.tail.harmed = Some(now);
+        let any_noisy = fillers.iter().any(|(_, noise)| *noise > NOISY_COEFFICIENT);
+        for (key, noise) in fillers {
+            let slower = slower && (noise > NOISY_COEFFICIENT || !any_noisy);
+            self.set_pace(id, &key, slower, faster, now);
         }
+    }
+
+    fn set_pace(&mut self, id: &WorkerId, key: &TaskKey, slower: bool, faster: bool, now: Millis) {
+        let fence = self.fence;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
         let address = worker.address.clone();
-        for key in fillers {
-            let Some(run) = worker.runs.get_mut(&key) else {
-                continue;
-            };
-            let at = PACES.iter().position(|pace| *pace <= run.pace).unwrap_or(0);
-            let next = if slower && run.pace > 0 {
-                PACES[(at + 1).min(PACES.len() - 1)]
-            } else if faster && run.pace < 100 {
-                PACES[at.saturating_sub(1)]
-            } else {
-                continue;
-            };
-            if now.since(run.paced) < PACE_GAP {
-                continue;
-            }
-            run.pace = next;
-            run.paced = now;
-            run.moved = now;
-            tracing::debug!(task = %key, worker = %id, pace = next, worst, "pace set");
-            self.orders.push(Order::Pace {
-                run: StopOrder {
-                    worker: id.clone(),
-                    address: address.clone(),
-                    task: key.clone(),
-                    run: run.run,
-                    fence,
-                },
-                percent: next,
-            });
+        let Some(run) = worker.runs.get_mut(key) else {
+            return;
+        };
+        let waited = now.since(run.paced);
+        if run.pace == 0 && waited > MOVE_AFTER && !faster {
+            tracing::info!(task = %key, worker = %id, image = run.image, "run is moved away from serving tasks");
+            self.stop(id, key, now);
+            return;
+        }
+        if waited < PACE_GAP {
+            return;
+        }
+        let at = PACES.iter().position(|pace| *pace <= run.pace).unwrap_or(0);
+        let next = match (slower, faster) {
+            (true, _) => PACES[(at + 1).min(PACES.len() - 1)],
+            (_, true) => PACES[at.saturating_sub(1)],
+            _ => return,
+        };
+        if next == run.pace {
+            return;
         }
+        run.pace = next;
+        run.paced = now;
+        run.moved = now;
+        self.orders.push(Order::Pace {
+            run: StopOrder {
+                worker: id.clone(),
+                address,
+                task: key.clone(),
+                run: run.run,
+                fence,
+            },
+            percent: next,
+        });
     }
 }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -3,7 +3,6 @@
 use std::collections::{HashMap, VecDeque};
 
 use super::blame::Blame;
-use super::sharing::Tail;
 use super::{Place, TaskKey};
 use crate::prelude::*;
 
@@ -60,7 +59,6 @@
     pub gauge: u64,
     pub pace: u32,
     pub paced: Millis,
-    pub over: Option<Millis>,
 }
 
 /// A worker with everything that takes its room.
@@ -86,7 +84,6 @@
     pub(super) heard: Millis,
     pub(super) misses: u32,
     pub(super) blame: Blame,
-    pub(super) tail: Tail,
 }
 
 impl Worker {
