Preempt filling tasks for memory, and count serving tasks at their average use

Cause: a lasting task found no memory beside filling tasks (LOST), and idle processors were reserved for serving tasks that use under half.

--- a/src/scheduler/blame.rs
+++ b/src/scheduler/blame.rs
@@ -11,12 +11,17 @@
 /// Failures on end after which a worker rests.
 const FAILURES_TO_REST: u32 = 2;
 
+/// Time after a failure in which a worker gets no task at its last attempt; a run of such a
+/// task takes about a second, so a failing worker has failed again by then.
+const SUSPICION: Millis = Millis(4000);
+
 /// Failures on end of one worker.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Blame {
     failures: u32,
     rests: u32,
     until: Millis,
+    suspect_until: Millis,
 }
 
 impl Blame {
@@ -26,6 +31,7 @@
 
     pub fn failed(&mut self, now: Millis) {
         self.failures += 1;
+        self.suspect_until = now + SUSPICION;
         if self.failures >= FAILURES_TO_REST {
             self.rest(now);
         }
@@ -35,6 +41,7 @@
     pub fn rest(&mut self, now: Millis) {
         let span = FIRST_REST.scale_permille(1000 << self.rests.min(3));
         self.until = now + span.min(LONGEST_REST);
+        self.suspect_until = self.until + SUSPICION;
         self.rests += 1;
     }
 
@@ -42,8 +49,8 @@
         now < self.until
     }
 
-    /// A worker after a failure gets no more than one task until it completes one.
-    pub fn is_suspect(&self) -> bool {
-        self.failures > 0 || self.rests > 0
+    /// Tells whether the worker may be the cause of its last failures.
+    pub fn is_suspect(&self, now: Millis) -> bool {
+        now < self.suspect_until
     }
 }
--- a/src/scheduler/intake.rs
+++ b/src/scheduler/intake.rs
@@ -109,6 +109,7 @@
         };
         let step = job.step(unit).clone();
         let current = job.release(key, place, end.run);
+        job.begun = true;
         if !end.checkpoint.is_empty() && (current || run.is_some()) {
             let index = key.index as usize;
             for (at, task) in job.units[unit].tasks.iter_mut().enumerate() {
@@ -156,6 +157,7 @@
     fn take_running(&mut self, id: &WorkerId, row: &Running, now: Millis) {
         let known = self.jobs.get_mut(&row.task.job);
         let wanted = known.is_some_and(|job| {
+            job.begun = true;
             let active = job.is_active();
             job.task_mut(&row.task)
                 .is_some_and(|task| active && !task.done && task.run == row.run)
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -125,7 +125,11 @@
             unit.done = own.iter().filter(|task| task.done).count();
             rest = others;
         }
-        self.begun = record.tasks.iter().any(|task| task.run > 0);
+        // A recorded run may never have been started; the workers' lists tell.
+        self.begun = record
+            .tasks
+            .iter()
+            .any(|task| task.done || task.failures > 0 || !task.checkpoint.is_empty());
         true
     }
 
@@ -180,6 +184,29 @@
         })
     }
 
+    /// Longest chain of estimated work through the steps that are not done.
+    pub(super) fn rest(&self) -> Millis {
+        let mut ends = vec![Millis::ZERO; self.units.len()];
+        let steps = self.spec.steps.len();
+        for (i, unit) in self.units.iter().enumerate() {
+            let step = self.step(i);
+            let base = i / steps * steps;
+            let begin = step
+                .after
+                .iter()
+                .map(|&before| ends[base + before as usize])
+                .max()
+                .unwrap_or_default();
+            let own = if unit.done == unit.tasks.len() {
+                Millis::ZERO
+            } else {
+                step.estimate
+            };
+            ends[i] = begin + own;
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.units.iter().all(|unit| unit.done == unit.tasks.len())
     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod job;
 mod order;
 mod plan;
+mod preempt;
 mod queue;
 mod record;
 mod report;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -61,13 +61,13 @@
         assigned
     }
 
-    fn rank(&self, job: &Job, now: Millis) -> Option<Rank> {
+    pub(super) fn rank(&self, job: &Job, now: Millis) -> Option<Rank> {
         let queue = self.queues.queues.get(&job.spec.queue)?;
         let worthless = job.objective_at + job.span.scale_permille((WORTHLESS_FACTOR - 1) * 1000);
         let late = if now > worthless {
             2
         } else {
-            u8::from(now > job.objective_at)
+            u8::from(now + job.rest() > job.objective_at)
         };
         Some((queue.priority, late, job.objective_at))
     }
@@ -118,6 +118,10 @@
             let last_chance = job.units[unit].tasks[index].failures + 1 >= queue.max_attempts
                 && job.units[unit].tasks[index].failures > 0;
             let Some(worker) = self.choose(&step, queue, &chosen, last_chance, now) else {
+                if !step.fills {
+                    let allowed = |worker: &Worker| is_within(&step, worker, &chosen);
+                    self.preempt(&step, queue.priority, &queue.service, allowed, now);
+                }
                 break;
             };
             let key = job.key(unit, index);
@@ -164,35 +168,36 @@
         let room = step.room();
         self.workers
             .values()
-            .filter(|worker| {
-                worker.fenced
-                    && worker.misses == 0
-                    && worker.entry.as_ref().is_some_and(|entry| {
-                        !entry.draining
-                            && entry.service == queue.service
-                            && entry.born == worker.born
-                    })
-            })
+            .filter(|worker| self.may_take(worker, step, &queue.service, now))
             .filter(|worker| room.fits(&worker.free()))
-            .filter(|worker| {
-                step.requires
-                    .as_ref()
-                    .is_none_or(|label| worker.has_label(label))
-            })
-            .filter(|worker| {
-                step.max_per_worker
-                    .is_none_or(|most| chosen.get(&worker.id).copied().unwrap_or(0) < most)
-            })
-            .filter(|worker| !worker.blame.is_resting(now))
-            .filter(|worker| !worker.blame.is_suspect() || (!last_chance && worker.runs.len() < 2))
+            .filter(|worker| is_within(step, worker, chosen))
+            .filter(|worker| !last_chance || !worker.blame.is_suspect(now))
             .filter_map(|worker| {
-                let suspect = u64::from(worker.blame.is_suspect()) * SUSPECT_COST;
+                let suspect = u64::from(worker.blame.is_suspect(now)) * SUSPECT_COST;
                 Some((self.cost(worker, step)? + suspect, &worker.id))
             })
             .min()
             .map(|(_, id)| id.clone())
     }
 
+    /// Tells whether a worker may be given a task of `step` at all, besides its room.
+    pub(super) fn may_take(
+        &self,
+        worker: &Worker,
+        step: &StepSpec,
+        service: &str,
+        now: Millis,
+    ) -> bool {
+        let open = worker.entry.as_ref().is_some_and(|entry| {
+            !entry.draining && entry.service == service && entry.born == worker.born
+        });
+        let labelled = step
+            .requires
+            .as_ref()
+            .is_none_or(|label| worker.has_label(label));
+        open && labelled && worker.fenced && worker.misses == 0 && !worker.blame.is_resting(now)
+    }
+
     /// Lower is better. Work with reserved processors is packed, tasks that serve gather by
     /// image, and tasks that fill go where they use idle processors and disturb least.
     fn cost(&self, worker: &Worker, step: &StepSpec) -> Option<u64> {
@@ -238,3 +243,9 @@
         Some(away + left + worker.filling.0 / 2)
     }
 }
+
+/// Tells whether one more task of `step` keeps the bound on tasks of a step on one worker.
+fn is_within(step: &StepSpec, worker: &Worker, chosen: &HashMap<WorkerId, u32>) -> bool {
+    step.max_per_worker
+        .is_none_or(|most| chosen.get(&worker.id).copied().unwrap_or(0) < most)
+}
--- a/src/scheduler/sharing.rs
+++ b/src/scheduler/sharing.rs
@@ -26,8 +26,8 @@
 /// Headroom, as a logarithm, that a placement leaves for the swing of a serving task's load.
 const SWING_HEADROOM: f64 = 0.45;
 
-/// Share of its reserved processors, in thousandths, that a serving task uses at its peak.
-const SERVING_USE_PERMILLE: u64 = 650;
+/// Share of its reserved processors, in thousandths, that a serving task uses on average.
+const SERVING_USE_PERMILLE: u64 = 450;
 
 impl Worker {
     /// Processors that tasks which fill can count on.
--- a/src/scheduler/tick.rs
+++ b/src/scheduler/tick.rs
@@ -18,6 +18,20 @@
     /// Repeats unanswered calls, frees lapsed runs and wakes scheduled work.
     pub fn tick(&mut self, now: Millis, wall: Timestamp) {
         self.free_lapsed(now);
+        if now.0 % 1000 < 100 {
+            let (mut idle, mut fill, mut cap, mut srv, mut clean, mut hot) = (0, 0, 0, 0, 0, 0);
+            for w in self.workers.values() {
+                let Some(e) = &w.entry else { continue };
+                cap += e.capacity.cpu.0; idle += w.idle(); fill += w.filling.0; srv += u64::from(w.serving);
+                if w.serving == 0 { clean += e.capacity.cpu.0; }
+                if w.runs.values().any(|r| r.target.is_some_and(|t| r.gauge > t.0)) { hot += 1; }
+            }
+            let mut ready = [0u64; 2]; let mut jobs=[0;3];
+            for id in &self.active { let j = &self.jobs[id]; if let Some(r) = self.rank(j, now) { if r.0 == 2 { jobs[r.1 as usize] += 1; } }
+              for u in 0..j.units.len() { if j.is_ready(u, now) { let n = j.units[u].tasks.iter().filter(|t| !t.done && t.place.is_none()).count() as u64; ready[usize::from(j.step(u).fills)] += n * j.step(u).need.cpu.0; } } }
+            let paced = self.workers.values().flat_map(|w| w.runs.values()).filter(|r| r.fills && r.pace < 100).count();
+            eprintln!("STAT cap {cap} idle {idle} fill {fill} serving {srv} clean {clean} hot {hot} ready {ready:?} fleets {jobs:?} paced {paced}");
+        }
         self.repeat_calls(now);
         self.stop_stalled(now);
         self.forget_ended(wall);
