Bound and debounce planning rounds

Cause: planning over a long queue kept the leader from renewing its lease, so leadership moved every two seconds. Rounds are at least 10 ms apart, end after 30 steps without a worker, and use cached headrooms.

--- a/src/entry/leader.rs
+++ b/src/entry/leader.rs
@@ -14,6 +14,7 @@
 use super::keys::{INTAKE, LEADER};
 use super::load::{apply_intake, apply_worker, load, load_workers};
 use super::ports::{Change, News, Outcome, Transaction};
+use super::pump::run_planner;
 use super::shared::Shared;
 use crate::prelude::*;
 use crate::scheduler::Scheduler;
@@ -43,6 +44,7 @@
     pub fence: u64,
     pub sched: Mutex<Scheduler>,
     pub dirty: Notify,
+    pub changed: Notify,
     pub lost: CancellationToken,
     pub holds: Mutex<HashMap<WorkerId, Arc<Notify>>>,
     valid_until: AtomicU64,
@@ -86,6 +88,7 @@
         fence,
         sched: Mutex::new(Scheduler::new(timing, fence, queues, began)),
         dirty: Notify::new(),
+        changed: Notify::new(),
         lost: cancel.child_token(),
         holds: Mutex::new(HashMap::new()),
         valid_until: AtomicU64::new(0),
@@ -112,6 +115,7 @@
         tasks.spawn(watch_intake(leader.clone(), intake_at));
         tasks.spawn(watch_workers(leader.clone(), workers_at));
         tasks.spawn(tick(leader.clone()));
+        tasks.spawn(run_planner(leader.clone()));
         for _ in 0..COMMITTERS {
             tasks.spawn(run_committer(leader.clone()));
         }
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -1,5 +1,7 @@
 //! Sends what the scheduler has decided.
 
+use std::time::Duration;
+
 use tokio::sync::Notify;
 
 use super::holds::run_holds;
@@ -7,16 +9,40 @@
 use crate::prelude::*;
 use crate::scheduler::{Order, StartAnswer};
 
+/// Shortest time between two rounds of planning; ends and submissions that come together share
+/// one.
+const PLAN_GAP: Duration = Duration::from_millis(10);
+
+/// Plans whenever something has changed.
+pub(super) async fn run_planner(leader: Arc<Leader>) {
+    loop {
+        leader.changed.notified().await;
+        {
+            let now = leader.shared.clock.now();
+            leader.sched.lock().plan(now);
+        }
+        leader.send_orders();
+        tokio::time::sleep(PLAN_GAP).await;
+    }
+}
+
 impl Leader {
-    /// Plans, wakes the writers of records and sends orders.
+    /// Sends orders and wakes the planner and the writers of records.
     pub fn pump(self: &Arc<Self>) {
-        let now = self.shared.clock.now();
-        let (orders, ids) = {
+        self.send_orders();
+        if self.sched.lock().wants_plan() {
+            self.changed.notify_one();
+        }
+    }
+
+    fn send_orders(self: &Arc<Self>) {
+        let (orders, ids, dirty) = {
             let mut sched = self.sched.lock();
-            sched.plan(now);
-            (sched.take_orders(), sched.new_workers())
+            (sched.take_orders(), sched.new_workers(), sched.has_dirty())
         };
-        self.dirty.notify_one();
+        if dirty {
+            self.dirty.notify_one();
+        }
         for id in ids {
             self.watch_worker(id);
         }
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -10,6 +10,10 @@
 /// Most tasks that one round assigns, so that a round stays short on a small machine.
 const MAX_ASSIGNED: usize = 200;
 
+/// Steps without a fitting worker after which a round ends: later ones rarely fit either, and a
+/// round over a long queue would keep a small machine from its lease.
+const MAX_MISSES: usize = 30;
+
 /// A job whose objective has passed this many times over earns nothing more.
 const WORTHLESS_FACTOR: u64 = 3;
 
@@ -43,6 +47,8 @@
             return 0;
         }
         self.replan = false;
+        self.refresh_margins();
+        let mut misses = 0;
         let mut ranked: Vec<(Rank, JobId)> = self
             .active
             .iter()
@@ -56,7 +62,10 @@
                 self.replan = true;
                 break;
             }
-            assigned += self.plan_job(&id, now);
+            if misses >= MAX_MISSES {
+                break;
+            }
+            assigned += self.plan_job(&id, &mut misses, now);
         }
         assigned
     }
@@ -72,7 +81,7 @@
         Some((queue.priority, late, job.objective_at))
     }
 
-    fn plan_job(&mut self, id: &JobId, now: Millis) -> usize {
+    fn plan_job(&mut self, id: &JobId, misses: &mut usize, now: Millis) -> usize {
         let Some(mut job) = self.jobs.remove(id) else {
             return 0;
         };
@@ -83,7 +92,7 @@
                 if job.units[unit].done == job.units[unit].tasks.len() || !job.is_ready(unit, now) {
                     continue;
                 }
-                assigned += self.plan_unit(&mut job, queue, unit, now);
+                assigned += self.plan_unit(&mut job, queue, unit, misses, now);
             }
         }
         if assigned > 0 {
@@ -94,7 +103,14 @@
         assigned
     }
 
-    fn plan_unit(&mut self, job: &mut Job, queue: &Queue, unit: usize, now: Millis) -> usize {
+    fn plan_unit(
+        &mut self,
+        job: &mut Job,
+        queue: &Queue,
+        unit: usize,
+        misses: &mut usize,
+        now: Millis,
+    ) -> usize {
         let step = job.step(unit).clone();
         let open: Vec<usize> = job.units[unit]
             .tasks
@@ -118,6 +134,7 @@
             let last_chance = job.units[unit].tasks[index].failures + 1 >= queue.max_attempts
                 && job.units[unit].tasks[index].failures > 0;
             let Some(worker) = self.choose(&step, queue, &chosen, last_chance, now) else {
+                *misses += 1;
                 if !step.fills {
                     let allowed = |worker: &Worker| is_within(&step, worker, &chosen);
                     self.preempt(&step, queue.priority, &queue.service, allowed, now);
@@ -141,6 +158,7 @@
                 version: job.version + 1,
             };
             found.insert(key.clone(), run);
+            self.refresh_margins();
             *chosen.entry(worker.clone()).or_default() += 1;
             placed.push((worker, key, index));
         }
--- a/src/scheduler/scheduler.rs
+++ b/src/scheduler/scheduler.rs
@@ -379,6 +379,16 @@
         (worker.handled > worker.seen).then_some(UNSEEN_PAUSE)
     }
 
+    /// Tells whether a round of planning may find something to assign.
+    pub fn wants_plan(&self) -> bool {
+        self.replan && self.may_start
+    }
+
+    /// Tells whether records wait to be written.
+    pub fn has_dirty(&self) -> bool {
+        !self.dirty.is_empty()
+    }
+
     /// Takes the orders that are ready to be sent.
     pub fn take_orders(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.orders)
--- a/src/scheduler/sharing.rs
+++ b/src/scheduler/sharing.rs
@@ -1,7 +1,7 @@
 //! Keeps tasks that fill from harming tasks that serve on the same worker.
 
 use super::interference::Usage;
-use super::worker::RunState;
+use super::worker::{Run, RunState};
 use super::{Order, Scheduler, StepSpec, StopOrder, TaskKey, Worker};
 use crate::prelude::*;
 
@@ -29,64 +29,78 @@
 /// Share of its reserved processors, in thousandths, that a serving task uses on average.
 const SERVING_USE_PERMILLE: u64 = 450;
 
+impl Run {
+    /// Processors that the run is expected to use.
+    pub(super) fn busy(&self) -> u64 {
+        if self.target.is_some() {
+            self.room.cpu.0 * SERVING_USE_PERMILLE / 1000
+        } else if self.fills {
+            self.cpu.0
+        } else {
+            self.room.cpu.0
+        }
+    }
+}
+
 impl Worker {
     /// Processors that tasks which fill can count on.
     pub(super) fn idle(&self) -> u64 {
         let capacity = self.entry.as_ref().map_or(0, |entry| entry.capacity.cpu.0);
-        let busy: u64 = self
-            .runs
-            .values()
-            .map(|run| {
-                if run.target.is_some() {
-                    run.room.cpu.0 * SERVING_USE_PERMILLE / 1000
-                } else if run.fills {
-                    run.cpu.0
-                } else {
-                    run.room.cpu.0
-                }
-            })
-            .sum();
-        capacity.saturating_sub(busy)
+        capacity.saturating_sub(self.busy)
     }
 
     /// Shares of its processors that tasks which fill use now, or would at full pace.
     fn uses(&self, full: bool) -> Vec<Usage> {
-        let capacity = self
-            .entry
-            .as_ref()
-            .map_or(1, |entry| entry.capacity.cpu.0.max(1));
+        let capacity = self.capacity();
         self.runs
             .values()
             .filter(|run| run.fills)
             .map(|run| {
                 let used = if full { run.cpu.0 } else { run.gauge };
-                (run.image.clone(), used as f64 / capacity as f64)
+                (run.image.clone(), used as f64 / capacity)
             })
             .collect()
     }
+
+    fn capacity(&self) -> f64 {
+        self.entry
+            .as_ref()
+            .map_or(1.0, |entry| entry.capacity.cpu.0.max(1) as f64)
+    }
 }
 
 impl Scheduler {
-    /// Predicts how far the worst tail stays below its target beside one more task of `step`;
-    /// a logarithm, negative if a target would be missed.
-    pub(super) fn headroom(&self, worker: &Worker, step: &StepSpec) -> f64 {
-        let mut uses = worker.uses(true);
-        let capacity = worker
-            .entry
-            .as_ref()
-            .map_or(1, |entry| entry.capacity.cpu.0.max(1));
-        if step.fills {
-            uses.push((step.image.clone(), step.need.cpu.0 as f64 / capacity as f64));
+    /// Brings the headrooms of all serving images up to date.
+    pub(super) fn refresh_margins(&mut self) {
+        for worker in self.workers.values_mut() {
+            if worker.margins.is_some() {
+                continue;
+            }
+            let uses = worker.uses(true);
+            let mut margins: Vec<(String, f64)> = Vec::new();
+            for run in worker.runs.values() {
+                let Some(target) = run.target else { continue };
+                if margins.iter().any(|(image, _)| *image == run.image) {
+                    continue;
+                }
+                let tail = self.interference.predict(&run.image, &uses);
+                let margin = (target.0.max(1) as f64).ln() - SWING_HEADROOM - tail;
+                margins.push((run.image.clone(), margin));
+            }
+            worker.margins = Some(margins);
         }
-        let present = worker
-            .runs
-            .values()
-            .filter_map(|run| Some((run.image.as_str(), run.target?)));
-        let coming = step.tail_target.map(|target| (step.image.as_str(), target));
-        present
-            .chain(coming)
-            .map(|(image, target)| {
-                (target.0 as f64).ln() - SWING_HEADROOM - self.interference.predict(image, &uses)
+    }
+
+    /// Predicts how far the worst tail stays below its target beside one more task of `step`
+    /// that fills; a logarithm, negative if a target would be missed.
+    pub(super) fn headroom(&self, worker: &Worker, step: &StepSpec) -> f64 {
+        let share = step.need.cpu.0 as f64 / worker.capacity();
+        worker
+            .margins
+            .iter()
+            .flatten()
+            .map(|(image, margin)| {
+                margin - self.interference.coefficient(image, &step.image) * share
             })
             .fold(f64::INFINITY, f64::min)
     }
@@ -114,6 +128,12 @@
                 worst = Some((share, run.image.clone()));
             }
         }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.margins = None;
+        }
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
         let slower = worst
             .as_ref()
             .is_some_and(|(share, _)| *share > SLOW_PERMILLE);
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -73,6 +73,10 @@
     pub(super) used: Resources,
     pub(super) filling: Millicores,
     pub(super) serving: u32,
+    /// Processors in use: reserved ones, and on average by tasks that serve.
+    pub(super) busy: u64,
+    /// Headroom of each serving image beside the present tasks; `None` if not up to date.
+    pub(super) margins: Option<Vec<(String, f64)>>,
     pub(super) runs: HashMap<TaskKey, Run>,
     /// Own time and the worker's clock at its last answer.
     pub(super) clock: Option<(Millis, Millis)>,
@@ -103,6 +107,8 @@
         if run.target.is_some() {
             self.serving += 1;
         }
+        self.busy += run.busy();
+        self.margins = None;
         self.runs.insert(key, run);
     }
 
@@ -115,6 +121,8 @@
         if run.target.is_some() {
             self.serving = self.serving.saturating_sub(1);
         }
+        self.busy = self.busy.saturating_sub(run.busy());
+        self.margins = None;
         Some(run)
     }
 
