Let a silent worker's runs lapse, and end a life that another one has replaced

Cause: each repeated start moved the time at which a silent worker's runs have lapsed, and a worker with a new id at the old address (421) was asked forever.

--- a/src/entry/holds.rs
+++ b/src/entry/holds.rs
@@ -5,7 +5,7 @@
 use tokio::sync::Notify;
 
 use super::leader::Leader;
-use super::ports::HoldCall;
+use super::ports::{HoldCall, HoldError};
 use crate::prelude::*;
 use crate::scheduler::HoldPlan;
 
@@ -61,7 +61,8 @@
                     }
                 }
             }
-            Err(err) => {
+            Err(HoldError::Ended) => leader.change(|sched, _| sched.worker_ended(&id)),
+            Err(HoldError::Failed(err)) => {
                 leader.change(|sched, _| sched.silent(&id, &err.to_string()));
                 tokio::time::sleep(SILENT_PAUSE).await;
             }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -27,6 +27,7 @@
 pub use election::FORMER_LEADER_SPAN;
 pub use peers::{PeerAnswer, PeerCall};
 pub use ports::{
-    Change, Dialect, HoldCall, Item, News, Outcome, Page, StateStore, Transaction, WorkerCalls,
+    Change, Dialect, HoldCall, HoldError, Item, News, Outcome, Page, StateStore, Transaction,
+    WorkerCalls,
 };
 pub use settings::EntrySettings;
--- a/src/entry/ports.rs
+++ b/src/entry/ports.rs
@@ -90,7 +90,7 @@
 #[async_trait]
 pub trait WorkerCalls: Send + Sync {
     /// Reads a worker's lists and renews its lease.
-    async fn hold(&self, worker: &WorkerId, call: &HoldCall) -> Result<Report, CallError>;
+    async fn hold(&self, worker: &WorkerId, call: &HoldCall) -> Result<Report, HoldError>;
     /// Begins a run.
     async fn start(&self, order: &StartOrder) -> StartAnswer;
     /// Ends a run; returns whether the worker acknowledged it.
@@ -99,6 +99,18 @@
     async fn pace(&self, order: &StopOrder, percent: u32) -> bool;
 }
 
+/// Why a worker's lists could not be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub enum HoldError {
+    /// Another life answers at the worker's address.
+    #[error("another worker answers at the address")]
+    Ended,
+    /// No usable answer came.
+    #[error(transparent)]
+    Failed(CallError),
+}
+
 /// A read of a worker's lists.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HoldCall {
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -73,6 +73,7 @@
                         StartAnswer::Old => "old",
                         StartAnswer::Late => "late",
                         StartAnswer::NoRoom => "no_room",
+                        StartAnswer::Ended => "ended",
                         StartAnswer::Refused => "refused",
                         StartAnswer::Unknown => "unknown",
                     };
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 
 use super::wire::{WireLists, WireReason};
-use crate::entry::{HoldCall, WorkerCalls};
+use crate::entry::{HoldCall, HoldError, WorkerCalls};
 use crate::prelude::*;
 use crate::scheduler::{Report, StartAnswer, StartOrder, StopOrder};
 use crate::web::{Link, LinkError, LinkRequest};
@@ -81,7 +81,7 @@
 
 #[async_trait]
 impl WorkerCalls for WorkerClient {
-    async fn hold(&self, worker: &WorkerId, call: &HoldCall) -> Result<Report, CallError> {
+    async fn hold(&self, worker: &WorkerId, call: &HoldCall) -> Result<Report, HoldError> {
         let mut body = json!({ "fence": call.fence, "lastSeen": call.last_seen });
         if let Some(deadline) = call.deadline {
             body["deadlineMs"] = json!(deadline.0);
@@ -89,21 +89,26 @@
         if call.wait > Millis::ZERO {
             body["waitMs"] = json!(call.wait.0);
         }
-        let broken = |reason: String| CallError::Broken {
-            addr: call.address.clone(),
-            reason,
+        let broken = |reason: String| {
+            HoldError::Failed(CallError::Broken {
+                addr: call.address.clone(),
+                reason,
+            })
         };
         let timeout = call.wait + HOLD_MARGIN;
         let (status, body) = self
             .call(worker, &call.address, "/hold", &body, timeout)
             .await
             .map_err(|err| broken(err.to_string()))?;
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return Err(HoldError::Ended);
+        }
         if status != StatusCode::OK {
-            return Err(CallError::Status {
+            return Err(HoldError::Failed(CallError::Status {
                 addr: call.address.clone(),
                 status: status.as_u16(),
                 message: String::from_utf8_lossy(&body).into_owned(),
-            });
+            }));
         }
         let lists: WireLists =
             serde_json::from_slice(&body).map_err(|err| broken(err.to_string()))?;
@@ -142,6 +147,7 @@
                     _ => StartAnswer::Refused,
                 }
             }
+            Ok((StatusCode::MISDIRECTED_REQUEST, _)) => StartAnswer::Ended,
             Ok((status, body)) => {
                 let body = String::from_utf8_lossy(&body);
                 tracing::info!(task = %order.task, worker = %order.worker, %status, %body, "start refused");
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -140,13 +140,18 @@
         let Some(clock) = worker.clock_at(now) else {
             return;
         };
-        let deadline = clock + self.timing.run_lease;
-        worker.lease = worker.lease.max(deadline);
         let address = worker.address.clone();
         let Some(run) = worker.runs.get_mut(key) else {
             return;
         };
         let again = run.state == RunState::Sent;
+        // A repeated start must not move the time at which a silent worker's runs have lapsed.
+        let deadline = if again {
+            worker.lease
+        } else {
+            clock + self.timing.run_lease
+        };
+        worker.lease = worker.lease.max(deadline);
         run.state = RunState::Sent;
         run.called = now;
         run.calling = true;
--- a/src/scheduler/intake.rs
+++ b/src/scheduler/intake.rs
@@ -248,7 +248,6 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let place = worker.place();
         let Some(run) = worker.runs.get_mut(key) else {
             return;
         };
@@ -263,6 +262,7 @@
                     run.settled = Some(now);
                 }
             }
+            StartAnswer::Ended => self.worker_ended(id),
             StartAnswer::Unknown => {
                 worker.misses = worker.misses.max(MISSES_TO_DOUBT);
             }
@@ -284,7 +284,6 @@
                 if answer == StartAnswer::Fenced {
                     self.may_start = false;
                 }
-                let _ = place;
             }
         }
     }
--- a/src/scheduler/order.rs
+++ b/src/scheduler/order.rs
@@ -68,6 +68,8 @@
     Late,
     /// The worker has no room.
     NoRoom,
+    /// Another life answers at the worker's address.
+    Ended,
     /// The worker has done nothing, for another reason.
     Refused,
     /// The run may exist now or come to exist later.
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -66,7 +66,11 @@
                     return None;
                 }
                 let saved = job.step(job.unit_of(key)?).checkpoints;
-                let worked = if saved { 1 } else { now.since(run.started).0 + 1 };
+                let worked = if saved {
+                    1
+                } else {
+                    now.since(run.started).0 + 1
+                };
                 Some((worked * run.cpu.0, key, run.room))
             })
             .collect();
--- a/src/scheduler/scheduler.rs
+++ b/src/scheduler/scheduler.rs
@@ -350,17 +350,18 @@
         if worker.fenced && worker.runs.is_empty() && !waiting && worker.misses == 0 {
             return HoldPlan::Pause(IDLE_PAUSE);
         }
-        let deadline = worker.clock_at(now).map(|clock| clock + lease);
-        if let Some(deadline) = deadline
-            && worker.fenced
-        {
-            worker.lease = worker.lease.max(deadline);
-        }
+        // A read of a worker that was silent must not move the time of its lapse.
+        let renews = worker.fenced && worker.misses == 0;
+        let deadline = worker
+            .clock_at(now)
+            .filter(|_| renews)
+            .map(|clock| clock + lease);
+        worker.lease = worker.lease.max(deadline.unwrap_or_default());
         HoldPlan::Call {
             address: worker.address.clone(),
             fence,
             last_seen: worker.seen,
-            deadline: deadline.filter(|_| worker.fenced),
+            deadline,
             wait: if worker.fenced && !waiting && worker.misses == 0 {
                 if worker.serving > 0 && worker.filling.0 > 0 {
                     SHARING_WAIT
--- a/src/scheduler/tick.rs
+++ b/src/scheduler/tick.rs
@@ -18,20 +18,6 @@
     /// Repeats unanswered calls, frees lapsed runs and wakes scheduled work.
     pub fn tick(&mut self, now: Millis, wall: Timestamp) {
         self.free_lapsed(now);
-        if now.0 % 1000 < 100 {
-            let (mut idle, mut fill, mut cap, mut srv, mut clean, mut hot) = (0, 0, 0, 0, 0, 0);
-            for w in self.workers.values() {
-                let Some(e) = &w.entry else { continue };
-                cap += e.capacity.cpu.0; idle += w.idle(); fill += w.filling.0; srv += u64::from(w.serving);
-                if w.serving == 0 { clean += e.capacity.cpu.0; }
-                if w.runs.values().any(|r| r.target.is_some_and(|t| r.gauge > t.0)) { hot += 1; }
-            }
-            let mut ready = [0u64; 2]; let mut jobs=[0;3];
-            for id in &self.active { let j = &self.jobs[id]; if let Some(r) = self.rank(j, now) { if r.0 == 2 { jobs[r.1 as usize] += 1; } }
-              for u in 0..j.units.len() { if j.is_ready(u, now) { let n = j.units[u].tasks.iter().filter(|t| !t.done && t.place.is_none()).count() as u64; ready[usize::from(j.step(u).fills)] += n * j.step(u).need.cpu.0; } } }
-            let paced = self.workers.values().flat_map(|w| w.runs.values()).filter(|r| r.fills && r.pace < 100).count();
-            eprintln!("STAT cap {cap} idle {idle} fill {fill} serving {srv} clean {clean} hot {hot} ready {ready:?} fleets {jobs:?} paced {paced}");
-        }
         self.repeat_calls(now);
         self.stop_stalled(now);
         self.forget_ended(wall);
@@ -56,26 +42,40 @@
             .map(|worker| worker.id.clone())
             .collect();
         for id in lapsed {
-            let Some(worker) = self.workers.get_mut(&id) else {
-                continue;
-            };
-            let place = worker.place();
-            let runs: Vec<(TaskKey, u32)> = worker
-                .runs
-                .iter()
-                .map(|(key, run)| (key.clone(), run.run))
-                .collect();
-            tracing::warn!(worker = %id, runs = runs.len(), "runs of a silent worker have lapsed");
-            worker.fenced = false;
-            for (key, run) in runs {
-                worker.drop_run(&key);
-                if let Some(job) = self.jobs.get_mut(&key.job)
-                    && job.release(&key, &place, run)
-                {
-                    self.dirty.insert(key.job.clone());
-                }
+            self.lose_runs(&id, "lapsed");
+        }
+    }
+
+    /// Notes that another life answers at a worker's address, so that this one has ended.
+    pub fn worker_ended(&mut self, id: &WorkerId) {
+        self.lose_runs(id, "worker has ended");
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.entry = None;
+        }
+    }
+
+    /// Frees all runs of a worker that are certain to have ended.
+    fn lose_runs(&mut self, id: &WorkerId, reason: &str) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let place = worker.place();
+        let runs: Vec<(TaskKey, u32)> = worker
+            .runs
+            .iter()
+            .map(|(key, run)| (key.clone(), run.run))
+            .collect();
+        tracing::warn!(worker = %id, born = worker.born, runs = runs.len(), reason, "runs are lost");
+        worker.fenced = false;
+        for (key, run) in runs {
+            worker.drop_run(&key);
+            if let Some(job) = self.jobs.get_mut(&key.job)
+                && job.release(&key, &place, run)
+            {
+                self.dirty.insert(key.job.clone());
             }
         }
+        self.replan = true;
     }
 
     fn repeat_calls(&mut self, now: Millis) {
