--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -216,11 +216,15 @@
     }
 
     /// Marks a run as ended where it was placed; returns whether the record changed.
+    ///
+    /// The number tells runs apart, so the life of the worker is not compared: a record may
+    /// name a life that has ended since.
     pub(super) fn release(&mut self, key: &TaskKey, place: &Place, run: u32) -> bool {
         let Some(task) = self.task_mut(key) else {
             return false;
         };
-        if task.run != run || task.place.as_ref() != Some(place) {
+        if task.run != run || task.place.as_ref().map(|known| &known.worker) != Some(&place.worker)
+        {
             return false;
         }
         task.place = None;
--- /dev/null
+++ b/tests/scheduler_support/mod.rs
@@ -0,0 +1,150 @@
+//! Fixtures for tests of the scheduler: jobs, workers and one leader without any I/O.
+#![allow(dead_code)]
+
+pub mod sim;
+
+use std::collections::BTreeMap;
+
+use sapphirecroft::prelude::*;
+use sapphirecroft::scheduler::{
+    JobRecord, JobSpec, Order, Queue, QueueTable, Report, Scheduler, StartAnswer, StartOrder,
+    StepSpec, StopOrder, Timing, WorkerEntry,
+};
+
+pub const RUN_LEASE: Millis = Millis(5800);
+pub const TAKEOVER_LAPSE: Millis = Millis(11_700);
+pub const SERVICE: &str = "service";
+
+pub fn timing() -> Timing {
+    Timing {
+        run_lease: RUN_LEASE,
+        takeover_lapse: TAKEOVER_LAPSE,
+        keep_ended: Millis(140_000),
+        harm: Millis(4000),
+    }
+}
+
+pub fn queue(name: &str, priority: u32, max_attempts: u32) -> Queue {
+    Queue {
+        name: name.to_string(),
+        host: "host".to_string(),
+        prefix: format!("/{name}/"),
+        service: SERVICE.to_string(),
+        priority,
+        max_attempts,
+        stretch_permille: 2000,
+        target_latency: Millis(1000),
+    }
+}
+
+pub fn queues() -> Arc<QueueTable> {
+    let all = [queue("urgent", 0, 2), queue("patient", 2, 4)];
+    Arc::new(QueueTable {
+        version: 1,
+        queues: all
+            .into_iter()
+            .map(|queue| (queue.name.clone(), queue))
+            .collect::<BTreeMap<_, _>>(),
+        max_body: 262_144,
+    })
+}
+
+pub fn id(text: &str) -> JobId {
+    text.parse().expect("valid id")
+}
+
+pub fn worker_id(at: usize) -> WorkerId {
+    format!("w{at}").parse().expect("valid id")
+}
+
+pub fn step(tasks: u32, cpu: u64, memory: u64) -> StepSpec {
+    StepSpec {
+        tasks,
+        need: Resources::new(cpu, memory, 0),
+        estimate: Millis(1000),
+        ..StepSpec::default()
+    }
+}
+
+pub fn job(queue: &str, steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        queue: queue.to_string(),
+        payload: "payload".to_string(),
+        steps,
+        ..JobSpec::default()
+    }
+}
+
+pub fn entry(at: usize, born: u64, cpu: u64, memory: u64) -> WorkerEntry {
+    WorkerEntry {
+        id: worker_id(at),
+        born,
+        service: SERVICE.to_string(),
+        address: format!("127.0.0.1:{}", 9000 + at),
+        capacity: Resources::new(cpu, memory, 0),
+        labels: vec!["a".to_string(), "r1".to_string()],
+        draining: false,
+    }
+}
+
+pub fn leader(now: Millis) -> Scheduler {
+    Scheduler::new(timing(), 7, queues(), now)
+}
+
+/// Registers a worker and lets it answer under the leader's fence with empty lists.
+pub fn join(sched: &mut Scheduler, entry: WorkerEntry, now: Millis) {
+    let (id, born) = (entry.id.clone(), entry.born);
+    sched.set_entry(entry, now);
+    report(sched, &id, born, now, Report::default());
+}
+
+/// Hands a report to the leader that was asked for just now.
+pub fn report(sched: &mut Scheduler, id: &WorkerId, born: u64, now: Millis, lists: Report) {
+    let lists = Report {
+        born,
+        clock: now,
+        ..lists
+    };
+    sched.reported(id, now, now, Timestamp(now.0), &lists);
+}
+
+pub fn submit(sched: &mut Scheduler, name: &str, spec: JobSpec, now: Millis) {
+    sched.add_job(id(name), spec, None, now, Timestamp(now.0));
+}
+
+/// Plans and writes all records; returns what the leader sends.
+pub fn settle(sched: &mut Scheduler, revision: u64, now: Millis) -> Vec<Order> {
+    sched.plan(now);
+    while let Some(batch) = sched.next_batch() {
+        sched.committed(&batch, revision, now);
+    }
+    sched.take_orders()
+}
+
+pub fn starts(orders: &[Order]) -> Vec<StartOrder> {
+    orders
+        .iter()
+        .filter_map(|order| match order {
+            Order::Start(start) => Some(start.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+pub fn stops(orders: &[Order]) -> Vec<StopOrder> {
+    orders
+        .iter()
+        .filter_map(|order| match order {
+            Order::Stop(stop) => Some(stop.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+pub fn answer(sched: &mut Scheduler, start: &StartOrder, answer: StartAnswer, now: Millis) {
+    sched.start_answered(&start.worker, &start.task, start.run, answer, now);
+}
+
+pub fn record(value: &[u8]) -> JobRecord {
+    rmp_serde::from_slice(value).expect("record decodes")
+}
--- /dev/null
+++ b/tests/scheduler_support/sim.rs
@@ -0,0 +1,600 @@
+//! Workers, a store and leaders in virtual time, with an oracle that watches every start.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sapphirecroft::prelude::*;
+use sapphirecroft::scheduler::{
+    EndKind, Ended, HoldPlan, JobSpec, JobView, Order, Report, Running, Scheduler, StartAnswer,
+    StartOrder, TaskKey,
+};
+
+use super::*;
+
+/// Length of a round.
+const ROUND: u64 = 50;
+
+/// Time for which a leader that was replaced still believes in its lease, and then in its holds.
+const OLD_STARTS: u64 = 1500;
+const OLD_HOLDS: u64 = 5500;
+
+const WORKERS: usize = 6;
+const CPU: u64 = 8000;
+const MEMORY: u64 = 16_000;
+
+struct SimWorker {
+    id: WorkerId,
+    born: u64,
+    fence: u64,
+    lease: u64,
+    runs: BTreeMap<TaskKey, (u32, u64, EndKind)>,
+    past: HashMap<TaskKey, u32>,
+    ended: Vec<Ended>,
+    number: u64,
+    dead_until: u64,
+    cut_until: u64,
+    faulty_until: u64,
+}
+
+struct Term {
+    sched: Scheduler,
+    fence: u64,
+    replaced: Option<u64>,
+    cut: BTreeSet<usize>,
+}
+
+/// A start that a worker has received and carries out late, if it lives that long.
+struct Late {
+    at: u64,
+    born: u64,
+    start: StartOrder,
+}
+
+pub struct Sim {
+    rng: ChaCha8Rng,
+    now: u64,
+    workers: Vec<SimWorker>,
+    specs: BTreeMap<JobId, JobSpec>,
+    cancelled: BTreeSet<JobId>,
+    records: BTreeMap<JobId, (Vec<u8>, u64)>,
+    revision: u64,
+    terms: Vec<Term>,
+    late: Vec<Late>,
+    noted_done: BTreeSet<TaskKey>,
+    done: BTreeSet<TaskKey>,
+    noted_failures: HashMap<TaskKey, u32>,
+    pub starts: usize,
+}
+
+impl Sim {
+    pub fn new(seed: u64) -> Self {
+        let workers = (0..WORKERS).map(|at| SimWorker::new(at, 1)).collect();
+        let mut sim = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: 1000,
+            workers,
+            specs: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
+            records: BTreeMap::new(),
+            revision: 10,
+            terms: Vec::new(),
+            late: Vec::new(),
+            noted_done: BTreeSet::new(),
+            done: BTreeSet::new(),
+            noted_failures: HashMap::new(),
+            starts: 0,
+        };
+        sim.take_over();
+        sim
+    }
+
+    /// Runs with faults, then heals everything and runs until the work must be done.
+    pub fn play(&mut self, faulty: u64, calm: u64) {
+        while self.now < faulty {
+            self.fault();
+            self.round();
+        }
+        for worker in &mut self.workers {
+            worker.cut_until = 0;
+            worker.faulty_until = 0;
+        }
+        if let Some(term) = self.terms.last_mut() {
+            term.cut.clear();
+        }
+        while self.now < faulty + calm {
+            self.round();
+        }
+    }
+
+    /// Names the jobs that are neither ended nor cancelled.
+    pub fn unfinished(&self) -> Vec<JobId> {
+        let sched = &self.terms.last().expect("a leader").sched;
+        let open = |id: &JobId| {
+            !matches!(
+                sched.view(id),
+                Some(JobView::Completed | JobView::Failed | JobView::Cancelled)
+            )
+        };
+        self.specs.keys().filter(|id| open(id)).cloned().collect()
+    }
+
+    fn fault(&mut self) {
+        let now = self.now;
+        if self.rng.random_bool(0.10) {
+            self.submit();
+        }
+        if self.rng.random_bool(0.02) {
+            let at = self.rng.random_range(0..self.specs.len().max(1));
+            if let Some(id) = self.specs.keys().nth(at).cloned() {
+                self.cancelled.insert(id.clone());
+                for term in &mut self.terms {
+                    if term.replaced.is_none() {
+                        term.sched.cancel(&id, Millis(now), Timestamp(now));
+                    }
+                }
+            }
+        }
+        let at = self.rng.random_range(0..WORKERS);
+        if self.rng.random_bool(0.01) {
+            self.workers[at].cut_until = now + self.rng.random_range(500..9000);
+        }
+        if self.rng.random_bool(0.01) {
+            self.workers[at].dead_until = now + self.rng.random_range(200..6000);
+            self.workers[at].runs.clear();
+        }
+        if self.rng.random_bool(0.005) {
+            self.workers[at].faulty_until = now + 2000;
+        }
+        if self.rng.random_bool(0.01) {
+            if let Some(term) = self.terms.last_mut() {
+                term.cut.insert(at);
+            }
+        }
+        if self.rng.random_bool(0.01) {
+            self.take_over();
+        }
+    }
+
+    fn submit(&mut self) {
+        let mut steps = Vec::new();
+        for at in 0..self.rng.random_range(1..4u32) {
+            let mut one = step(
+                self.rng.random_range(1..5),
+                self.rng.random_range(500..4000),
+                self.rng.random_range(500..5000),
+            );
+            one.estimate = Millis(self.rng.random_range(200..2000));
+            one.checkpoints = self.rng.random_bool(0.5);
+            one.fills = self.rng.random_bool(0.3);
+            one.gang = self.rng.random_bool(0.1) && one.tasks < 4;
+            if at > 0 {
+                one.after = vec![at - 1];
+            }
+            steps.push(one);
+        }
+        let queue = if self.rng.random_bool(0.5) {
+            "urgent"
+        } else {
+            "patient"
+        };
+        let name = format!("j{}", self.specs.len());
+        let spec = job(queue, steps);
+        self.specs.insert(id(&name), spec.clone());
+        let now = self.now;
+        for term in &mut self.terms {
+            submit(&mut term.sched, &name, spec.clone(), Millis(now));
+        }
+    }
+
+    /// A new leader takes the key and reads the store; the old one does not know yet.
+    fn take_over(&mut self) {
+        let now = self.now;
+        for term in &mut self.terms {
+            term.replaced.get_or_insert(now);
+        }
+        self.revision += 1;
+        let fence = self.revision;
+        let mut sched = Scheduler::new(timing(), fence, queues(), Millis(now));
+        for (id, spec) in &self.specs {
+            let record = self
+                .records
+                .get(id)
+                .map(|(value, revision)| (super::record(value), *revision));
+            sched.add_job(
+                id.clone(),
+                spec.clone(),
+                record,
+                Millis(now),
+                Timestamp(now),
+            );
+            if self.cancelled.contains(id) {
+                sched.cancel(id, Millis(now), Timestamp(now));
+            }
+        }
+        self.terms.push(Term {
+            sched,
+            fence,
+            replaced: None,
+            cut: BTreeSet::new(),
+        });
+    }
+
+    fn round(&mut self) {
+        self.now += ROUND;
+        let now = self.now;
+        self.terms
+            .retain(|term| term.replaced.is_none_or(|at| now < at + OLD_HOLDS));
+        self.advance_workers();
+        let mut terms = std::mem::take(&mut self.terms);
+        for term in &mut terms {
+            self.lead(term);
+        }
+        self.terms = terms;
+        let (due, rest) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition::<Vec<_>, _>(|late| late.at <= now);
+        self.late = rest;
+        for late in due {
+            let alive =
+                |worker: &SimWorker| worker.id == late.start.worker && worker.born == late.born;
+            if self.workers.iter().any(alive) {
+                self.carry_out(&late.start);
+            }
+        }
+    }
+
+    fn advance_workers(&mut self) {
+        let now = self.now;
+        for worker in &mut self.workers {
+            if worker.dead_until > 0 && now >= worker.dead_until {
+                worker.revive(now);
+            }
+            let lapsed = worker.lease <= now;
+            let over: Vec<TaskKey> = worker
+                .runs
+                .iter()
+                .filter(|(_, (_, end, _))| lapsed || *end <= now)
+                .map(|(key, _)| key.clone())
+                .collect();
+            for key in over {
+                let (run, end, how) = worker.runs.remove(&key).expect("present");
+                let how = if end <= now {
+                    how
+                } else {
+                    EndKind::Interrupted
+                };
+                if how == EndKind::Done {
+                    self.done.insert(key.clone());
+                }
+                worker.end(&key, run, how);
+            }
+        }
+    }
+
+    fn lead(&mut self, term: &mut Term) {
+        let now = Millis(self.now);
+        let wall = Timestamp(self.now);
+        let current = term.replaced.is_none();
+        let may_start = term.replaced.is_none_or(|at| self.now < at + OLD_STARTS);
+        for (at, worker) in self.workers.iter().enumerate() {
+            if worker.dead_until == 0 {
+                let mut own = entry(at, worker.born, CPU, MEMORY);
+                own.id = worker.id.clone();
+                term.sched.set_entry(own, now);
+            } else {
+                term.sched.remove_entry(&worker.id);
+            }
+        }
+        term.sched.allow_starts(may_start);
+        for at in 0..WORKERS {
+            self.hold(term, at);
+        }
+        term.sched.tick(now, wall);
+        term.sched.plan(now);
+        while let Some(batch) = term.sched.next_batch() {
+            let lost = self.rng.random_bool(0.05);
+            if !current {
+                term.sched.not_committed(&batch);
+                break;
+            }
+            let fits = batch.writes.iter().all(|write| {
+                self.records
+                    .get(&write.job)
+                    .map_or(0, |(_, revision)| *revision)
+                    == write.revision
+            });
+            if fits {
+                self.revision += 1;
+                for write in &batch.writes {
+                    self.records
+                        .insert(write.job.clone(), (write.value.clone(), self.revision));
+                }
+            }
+            if fits && !lost {
+                term.sched.committed(&batch, self.revision, now);
+            } else {
+                for write in &batch.writes {
+                    if let Some((_, revision)) = self.records.get(&write.job) {
+                        term.sched.set_revision(&write.job, *revision);
+                    }
+                }
+                term.sched.not_committed(&batch);
+                break;
+            }
+        }
+        for order in term.sched.take_orders() {
+            self.deliver(term, order, may_start);
+        }
+    }
+
+    fn reachable(&self, term: &Term, at: usize) -> bool {
+        let worker = &self.workers[at];
+        worker.dead_until == 0
+            && worker.cut_until <= self.now
+            && !(term.cut.contains(&at) && term.replaced.is_none())
+    }
+
+    fn hold(&mut self, term: &mut Term, at: usize) {
+        let now = Millis(self.now);
+        let known = self.workers[at].id.clone();
+        let plan = term.sched.hold_plan(&known, now);
+        let HoldPlan::Call {
+            fence,
+            last_seen,
+            deadline,
+            ..
+        } = plan
+        else {
+            return;
+        };
+        if !self.reachable(term, at) {
+            term.sched.silent(&known, "cut");
+            return;
+        }
+        let worker = &mut self.workers[at];
+        if fence < worker.fence {
+            term.sched.silent(&known, "fenced");
+            return;
+        }
+        worker.fence = fence;
+        if let Some(deadline) = deadline {
+            let most = self.now + 6000;
+            worker.lease = worker.lease.max((deadline.0 + worker.born).min(most));
+        }
+        for end in worker.ended.iter().filter(|end| end.number <= last_seen) {
+            match end.how {
+                EndKind::Done => {
+                    self.noted_done.insert(end.task.clone());
+                }
+                EndKind::Failed => *self.noted_failures.entry(end.task.clone()).or_default() += 1,
+                EndKind::Interrupted => {}
+            }
+        }
+        worker.ended.retain(|end| end.number > last_seen);
+        let lists = Report {
+            born: worker.born,
+            clock: Millis(self.now - worker.born),
+            running: worker
+                .runs
+                .iter()
+                .map(|(task, (run, end, _))| Running {
+                    task: task.clone(),
+                    run: *run,
+                    checkpoint: String::new(),
+                    // Progress, so that the run does not look as if it stood still.
+                    percent: u32::try_from(end.saturating_sub(self.now) % 100).unwrap_or(0),
+                    gauge: 0,
+                })
+                .collect(),
+            ended: worker.ended.clone(),
+        };
+        term.sched
+            .reported(&known, now, now, Timestamp(self.now), &lists);
+    }
+
+    fn deliver(&mut self, term: &mut Term, order: Order, may_start: bool) {
+        let now = Millis(self.now);
+        match order {
+            Order::Start(start) => {
+                let Some(at) = self
+                    .workers
+                    .iter()
+                    .position(|worker| worker.id == start.worker)
+                else {
+                    return;
+                };
+                if !may_start {
+                    return;
+                }
+                let answer = if !self.reachable(term, at) {
+                    StartAnswer::Unknown
+                } else if self.rng.random_bool(0.05) {
+                    let born = self.workers[at].born;
+                    let at = self.now + self.rng.random_range(500..8000);
+                    self.late.push(Late {
+                        at,
+                        born,
+                        start: start.clone(),
+                    });
+                    StartAnswer::Unknown
+                } else {
+                    let answer = self.carry_out(&start);
+                    if self.rng.random_bool(0.05) {
+                        StartAnswer::Unknown
+                    } else {
+                        answer
+                    }
+                };
+                super::answer(&mut term.sched, &start, answer, now);
+            }
+            Order::Stop(stop) => {
+                let found = self
+                    .workers
+                    .iter()
+                    .position(|worker| worker.id == stop.worker);
+                let reached = found.is_some_and(|at| self.reachable(term, at));
+                let mut acknowledged = false;
+                if let (Some(at), true) = (found, reached) {
+                    let worker = &mut self.workers[at];
+                    if stop.fence >= worker.fence {
+                        worker.fence = stop.fence;
+                        acknowledged = true;
+                        let past = worker.past.entry(stop.task.clone()).or_default();
+                        *past = (*past).max(stop.run);
+                        if worker
+                            .runs
+                            .get(&stop.task)
+                            .is_some_and(|(run, ..)| *run == stop.run)
+                        {
+                            worker.runs.remove(&stop.task);
+                            worker.end(&stop.task, stop.run, EndKind::Interrupted);
+                        }
+                    }
+                }
+                term.sched
+                    .stop_answered(&stop.worker, &stop.task, stop.run, acknowledged, now);
+            }
+            Order::Pace { .. } => {}
+        }
+    }
+
+    /// The worker's side of a start, with the oracle's checks.
+    fn carry_out(&mut self, start: &StartOrder) -> StartAnswer {
+        let now = self.now;
+        let Some(at) = self
+            .workers
+            .iter()
+            .position(|worker| worker.id == start.worker)
+        else {
+            return StartAnswer::Ended;
+        };
+        let worker = &mut self.workers[at];
+        if worker.dead_until > 0 {
+            return StartAnswer::Unknown;
+        }
+        if start.fence < worker.fence {
+            return StartAnswer::Fenced;
+        }
+        worker.fence = start.fence;
+        if start.deadline.0 + worker.born <= now {
+            return StartAnswer::Late;
+        }
+        if worker
+            .runs
+            .get(&start.task)
+            .is_some_and(|(run, ..)| *run == start.run)
+        {
+            return StartAnswer::Started;
+        }
+        if worker
+            .past
+            .get(&start.task)
+            .is_some_and(|past| *past >= start.run)
+        {
+            return StartAnswer::Old;
+        }
+        let spec = self.specs[&start.task.job].clone();
+        let step = &spec.steps[start.task.step as usize];
+        let fails = self.rng.random_bool(0.05) || worker.faulty_until > now;
+        let how = if fails {
+            EndKind::Failed
+        } else {
+            EndKind::Done
+        };
+        let took = step.estimate.0 * self.rng.random_range(5..15) / 10;
+        worker.lease = worker.lease.max(start.deadline.0 + worker.born);
+        let (run, key) = (start.run, start.task.clone());
+        worker.past.insert(key.clone(), run);
+        worker.runs.insert(key.clone(), (run, now + took, how));
+        self.starts += 1;
+        self.check_start(at, &key, &spec);
+        StartAnswer::Started
+    }
+
+    fn check_start(&self, at: usize, key: &TaskKey, spec: &JobSpec) {
+        let twice = self
+            .workers
+            .iter()
+            .enumerate()
+            .any(|(other, worker)| other != at && worker.runs.contains_key(key));
+        assert!(!twice, "{} ms: {key} runs in two places", self.now);
+        assert!(
+            !self.noted_done.contains(key),
+            "{} ms: {key} is done",
+            self.now
+        );
+        let mut used = Resources::default();
+        for task in self.workers[at].runs.keys() {
+            let room = self.specs[&task.job].steps[task.step as usize].room();
+            used = used.checked_add(&room).expect("small numbers");
+        }
+        assert!(
+            used.fits(&Resources::new(CPU, MEMORY, 0)),
+            "{} ms: worker {at} is over its capacity: {used}",
+            self.now
+        );
+        for before in &spec.steps[key.step as usize].after {
+            for index in 0..spec.steps[*before as usize].tasks {
+                let needed = TaskKey {
+                    step: *before,
+                    index,
+                    ..key.clone()
+                };
+                let any = TaskKey {
+                    step: *before,
+                    index: 0,
+                    ..key.clone()
+                };
+                let gang = spec.steps[*before as usize].gang;
+                assert!(
+                    self.done.contains(&needed) || (gang && self.done.contains(&any)) || gang,
+                    "{} ms: {key} starts before {needed} is done",
+                    self.now
+                );
+            }
+        }
+        let most = queues().queues[&spec.queue].max_attempts;
+        let failures = self.noted_failures.get(key).copied().unwrap_or(0);
+        assert!(
+            failures < most,
+            "{} ms: {key} has used up its attempts",
+            self.now
+        );
+    }
+}
+
+impl SimWorker {
+    fn new(at: usize, born: u64) -> Self {
+        Self {
+            id: worker_id(at),
+            born,
+            fence: 0,
+            lease: 0,
+            runs: BTreeMap::new(),
+            past: HashMap::new(),
+            ended: Vec::new(),
+            number: 0,
+            dead_until: 0,
+            cut_until: 0,
+            faulty_until: 0,
+        }
+    }
+
+    fn revive(&mut self, now: u64) {
+        let id = self.id.clone();
+        *self = Self::new(0, now);
+        self.id = id;
+    }
+
+    fn end(&mut self, task: &TaskKey, run: u32, how: EndKind) {
+        self.number += 1;
+        self.ended.push(Ended {
+            number: self.number,
+            task: task.clone(),
+            run,
+            how,
+            checkpoint: String::new(),
+        });
+    }
+}
