End tasks that fill beside a serving task that stays over its target

All are halted after 1 s and ended after 2 s, and none is added meanwhile. A store that is known to be away refuses at once instead of leaving the caller in doubt for 700 ms.

--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -110,9 +110,12 @@
 }
 
 async fn write(shared: &Shared, txn: &Transaction) -> Change {
+    if shared.store_failed() {
+        // Nothing is sent, so the caller can be told for certain; the watches find the store again.
+        return Change::Refused;
+    }
     let mut unsure = false;
-    let tries = if shared.store_failed() { 1 } else { OWN_TRIES };
-    for _ in 0..tries {
+    for _ in 0..OWN_TRIES {
         let result = shared.store.commit(txn, WRITE_TIMEOUT).await;
         shared.note_store("commit", &result);
         match result {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -13,9 +13,9 @@
 mod queue;
 mod record;
 mod report;
-mod scheduler;
 mod sharing;
 mod spec;
+mod state;
 mod tick;
 mod worker;
 
@@ -25,6 +25,6 @@
 pub use queue::{Queue, QueueTable};
 pub use record::{JobRecord, Place, TaskRecord};
 pub use report::{EndKind, Ended, Report, Running};
-pub use scheduler::{Scheduler, Timing};
 pub use spec::{JobSpec, Repeat, StepSpec, TaskKey};
+pub use state::{Scheduler, Timing};
 pub use worker::{Worker, WorkerEntry};
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use super::scheduler::new_run;
+use super::state::new_run;
 use super::worker::RunState;
 use super::{Job, Queue, Scheduler, StepSpec, Worker};
 use crate::prelude::*;
@@ -233,7 +233,7 @@
                 return Some(away + BUSY_COST.saturating_sub(idle));
             }
             let headroom = self.headroom(worker, step);
-            if headroom < 0.0 {
+            if headroom < 0.0 || worker.over_since.is_some() {
                 return None;
             }
             let noise =
--- a/src/scheduler/sharing.rs
+++ b/src/scheduler/sharing.rs
@@ -23,6 +23,13 @@
 /// Time at pace 0 after which a run is moved to another worker.
 const MOVE_AFTER: Millis = Millis(900);
 
+/// Time over a target after which all tasks that fill are halted, whatever the model says of
+/// them: a harm counts after 4 s, and a halt shows after about one.
+const HALT_AFTER: Millis = Millis(1000);
+
+/// Time over a target after which they are ended.
+const END_AFTER: Millis = Millis(2000);
+
 /// Headroom, as a logarithm, that a placement leaves for the swing of a serving task's load.
 const SWING_HEADROOM: f64 = 0.45;
 
@@ -128,8 +135,12 @@
                 worst = Some((share, run.image.clone()));
             }
         }
+        let over = worst.as_ref().is_some_and(|(share, _)| *share > 1000);
+        let mut since = Millis::ZERO;
         if let Some(worker) = self.workers.get_mut(id) {
             worker.margins = None;
+            worker.over_since = over.then(|| worker.over_since.unwrap_or(now));
+            since = worker.over_since.map_or(Millis::ZERO, |at| now.since(at));
         }
         let Some(worker) = self.workers.get(id) else {
             return;
@@ -152,18 +163,26 @@
             .collect();
         let any_noisy = fillers.iter().any(|(_, noise)| *noise > NOISY_COEFFICIENT);
         for (key, noise) in fillers {
+            if since > END_AFTER {
+                tracing::info!(task = %key, worker = %id, serving, "run ends beside a serving task over its target");
+                self.stop(id, &key, now);
+                continue;
+            }
+            if since > HALT_AFTER {
+                self.send_pace(id, &key, 0, now);
+                continue;
+            }
             let slower = slower && (noise > NOISY_COEFFICIENT || !any_noisy);
             self.set_pace(id, &key, slower, faster, now);
         }
     }
 
     fn set_pace(&mut self, id: &WorkerId, key: &TaskKey, slower: bool, faster: bool, now: Millis) {
-        let fence = self.fence;
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        let address = worker.address.clone();
-        let Some(run) = worker.runs.get_mut(key) else {
+        let Some(run) = self
+            .workers
+            .get_mut(id)
+            .and_then(|worker| worker.runs.get_mut(key))
+        else {
             return;
         };
         let waited = now.since(run.paced);
@@ -181,10 +200,22 @@
             (_, true) => PACES[at.saturating_sub(1)],
             _ => return,
         };
-        if next == run.pace {
+        self.send_pace(id, key, next, now);
+    }
+
+    fn send_pace(&mut self, id: &WorkerId, key: &TaskKey, percent: u32, now: Millis) {
+        let fence = self.fence;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let address = worker.address.clone();
+        let Some(run) = worker.runs.get_mut(key) else {
+            return;
+        };
+        if percent == run.pace {
             return;
         }
-        run.pace = next;
+        run.pace = percent;
         run.paced = now;
         run.moved = now;
         self.orders.push(Order::Pace {
@@ -195,7 +226,7 @@
                 run: run.run,
                 fence,
             },
-            percent: next,
+            percent,
         });
     }
 }
--- a/src/scheduler/tick.rs
+++ b/src/scheduler/tick.rs
@@ -1,6 +1,6 @@
 //! What time alone changes.
 
-use super::scheduler::CLOCK_DRIFT_PERMILLE;
+use super::state::CLOCK_DRIFT_PERMILLE;
 use super::worker::RunState;
 use super::{Phase, Scheduler, TaskKey};
 use crate::prelude::*;
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -73,6 +73,8 @@
     pub(super) used: Resources,
     pub(super) filling: Millicores,
     pub(super) serving: u32,
+    /// Since when a serving task has been over its target.
+    pub(super) over_since: Option<Millis>,
     /// Processors in use: reserved ones, and on average by tasks that serve.
     pub(super) busy: u64,
     /// Headroom of each serving image beside the present tasks; `None` if not up to date.
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -16,8 +16,9 @@
 use serde_json::Value;
 
 /// Every level that has a help text.
-const LEVELS: [&str; 41] = [
+const LEVELS: [&str; 42] = [
     "",
+    "entry",
     "check",
     "check settings",
     "check bundle",
--- a/tests/scheduler_support/sim.rs
+++ b/tests/scheduler_support/sim.rs
@@ -146,10 +146,10 @@
         if self.rng.random_bool(0.005) {
             self.workers[at].faulty_until = now + 2000;
         }
-        if self.rng.random_bool(0.01) {
-            if let Some(term) = self.terms.last_mut() {
-                term.cut.insert(at);
-            }
+        if self.rng.random_bool(0.01)
+            && let Some(term) = self.terms.last_mut()
+        {
+            term.cut.insert(at);
         }
         if self.rng.random_bool(0.01) {
             self.take_over();
@@ -535,24 +535,24 @@
             self.now
         );
         for before in &spec.steps[key.step as usize].after {
-            for index in 0..spec.steps[*before as usize].tasks {
-                let needed = TaskKey {
+            let earlier = &spec.steps[*before as usize];
+            let is_done = |index| {
+                self.done.contains(&TaskKey {
                     step: *before,
                     index,
                     ..key.clone()
-                };
-                let any = TaskKey {
-                    step: *before,
-                    index: 0,
-                    ..key.clone()
-                };
-                let gang = spec.steps[*before as usize].gang;
-                assert!(
-                    self.done.contains(&needed) || (gang && self.done.contains(&any)) || gang,
-                    "{} ms: {key} starts before {needed} is done",
-                    self.now
-                );
-            }
+                })
+            };
+            let met = if earlier.gang {
+                (0..earlier.tasks).any(is_done)
+            } else {
+                (0..earlier.tasks).all(is_done)
+            };
+            assert!(
+                met,
+                "{} ms: {key} starts before step {before} is done",
+                self.now
+            );
         }
         let most = queues().queues[&spec.queue].max_attempts;
         let failures = self.noted_failures.get(key).copied().unwrap_or(0);
