--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -20,7 +20,7 @@
 }
 
 /// Guards against a path that does not hold together: a job of two steps, seen at every daemon.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_job_runs_its_steps_once_and_is_seen_everywhere() {
     let site = Site::start("path", 2, 3).await;
     let body = json!({"spec": "x", "steps": [
@@ -41,7 +41,7 @@
 }
 
 /// Guards against work that is lost or doubled when the leader is killed or its key is taken away.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn work_goes_on_once_without_the_leader() {
     let mut site = Site::start("kill", 2, 3).await;
 
@@ -66,7 +66,7 @@
 
 /// Guards against answers that are lost after the call took effect: a doubled job or task, or a
 /// job that is refused although it is stored.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn lost_answers_double_nothing() {
     let site = Site::start("lost", 2, 2).await;
     for worker in &site.workers {
@@ -82,7 +82,7 @@
 }
 
 /// Guards against a daemon that accepts work while the store is away, or stays away after it.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_outage_of_the_store_is_refused_and_survived() {
     let site = Site::start("outage", 2, 2).await;
     site.store.set_down(true);
@@ -102,7 +102,7 @@
 }
 
 /// Guards against requests that are answered by an older version of the configuration.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_new_configuration_is_in_force_within_two_seconds() {
     let site = Site::start("config", 1, 2).await;
     let mut cfg = config(7);
@@ -120,7 +120,7 @@
 }
 
 /// Guards against entries and bodies that cannot be read: they must cost nothing else.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bad_input_is_refused_and_harms_nothing() {
     let site = Site::start("bad", 1, 1).await;
     site.store.put("servers/i-strange", &json!({"service": 7}));
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -105,7 +105,11 @@
             let _ = daemon.child.kill();
             let _ = daemon.child.wait();
         }
-        let _ = std::fs::remove_dir_all(&self.dir);
+        if std::thread::panicking() {
+            eprintln!("logs of the daemons are in {}", self.dir.display());
+        } else {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
     }
 }
 
