Predict headroom per serving run with the residual of its recent tails

Cause: one headroom for all phases of the serving load was too much for most and too little for some.

--- a/src/scheduler/intake.rs
+++ b/src/scheduler/intake.rs
@@ -345,6 +345,7 @@
             gauge: 0,
             pace: 100,
             paced: Millis::ZERO,
+            residual: 0.0,
         }
     }
 }
--- a/src/scheduler/sharing.rs
+++ b/src/scheduler/sharing.rs
@@ -30,8 +30,15 @@
 /// Time over a target after which they are ended.
 const END_AFTER: Millis = Millis(2000);
 
+/// Weight of a new sample in a serving run's residual; its load swings within about 14 s.
+const RESIDUAL_GAIN: f64 = 0.4;
+
+/// Bounds of a residual: a low load rises again, and a high one is bounded by its swing.
+const LEAST_RESIDUAL: f64 = -0.2;
+const MOST_RESIDUAL: f64 = 0.8;
+
 /// Headroom, as a logarithm, that a placement leaves for the swing of a serving task's load.
-const SWING_HEADROOM: f64 = 0.45;
+const SWING_HEADROOM: f64 = 0.35;
 
 /// Share of its reserved processors, in thousandths, that a serving task uses on average.
 const SERVING_USE_PERMILLE: u64 = 450;
@@ -77,7 +84,7 @@
 }
 
 impl Scheduler {
-    /// Brings the headrooms of all serving images up to date.
+    /// Brings the headrooms of all serving runs up to date.
     pub(super) fn refresh_margins(&mut self) {
         for worker in self.workers.values_mut() {
             if worker.margins.is_some() {
@@ -87,10 +94,7 @@
             let mut margins: Vec<(String, f64)> = Vec::new();
             for run in worker.runs.values() {
                 let Some(target) = run.target else { continue };
-                if margins.iter().any(|(image, _)| *image == run.image) {
-                    continue;
-                }
-                let tail = self.interference.predict(&run.image, &uses);
+                let tail = self.interference.predict(&run.image, &uses) + run.residual;
                 let margin = (target.0.max(1) as f64).ln() - SWING_HEADROOM - tail;
                 margins.push((run.image.clone(), margin));
             }
@@ -122,13 +126,19 @@
         }
         let uses = worker.uses(false);
         let mut worst: Option<(u64, String)> = None;
-        for run in worker.runs.values() {
+        let mut residuals = Vec::new();
+        for (key, run) in &worker.runs {
             let (Some(target), RunState::Placed) = (run.target, run.state) else {
                 continue;
             };
             if run.percent < 100 {
                 continue;
             }
+            if run.gauge > 0 {
+                let expected = self.interference.predict(&run.image, &uses);
+                let above = (run.gauge as f64).ln() - expected;
+                residuals.push((key.clone(), above));
+            }
             self.interference.learn(&run.image, run.gauge, &uses);
             let share = run.gauge * 1000 / target.0.max(1);
             if worst.as_ref().is_none_or(|(most, _)| share > *most) {
@@ -138,6 +148,12 @@
         let over = worst.as_ref().is_some_and(|(share, _)| *share > 1000);
         let mut since = Millis::ZERO;
         if let Some(worker) = self.workers.get_mut(id) {
+            for (key, above) in residuals {
+                if let Some(run) = worker.runs.get_mut(&key) {
+                    let mixed = run.residual + RESIDUAL_GAIN * (above - run.residual);
+                    run.residual = mixed.clamp(LEAST_RESIDUAL, MOST_RESIDUAL);
+                }
+            }
             worker.margins = None;
             worker.over_since = over.then(|| worker.over_since.unwrap_or(now));
             since = worker.over_since.map_or(Millis::ZERO, |at| now.since(at));
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -436,5 +436,6 @@
         gauge: 0,
         pace: 100,
         paced: Millis::ZERO,
+        residual: 0.0,
     }
 }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -59,6 +59,8 @@
     pub gauge: u64,
     pub pace: u32,
     pub paced: Millis,
+    /// How far its tail was above the model of late; a logarithm.
+    pub residual: f64,
 }
 
 /// A worker with everything that takes its room.
@@ -77,7 +79,7 @@
     pub(super) over_since: Option<Millis>,
     /// Processors in use: reserved ones, and on average by tasks that serve.
     pub(super) busy: u64,
-    /// Headroom of each serving image beside the present tasks; `None` if not up to date.
+    /// Headroom of each serving run beside the present tasks; `None` if not up to date.
     pub(super) margins: Option<Vec<(String, f64)>>,
     pub(super) runs: HashMap<TaskKey, Run>,
     /// Own time and the worker's clock at its last answer.
