--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -207,6 +207,19 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Estimated work of all tasks, and of those that are not done, in core-seconds.
+    pub(super) fn work(&self) -> (f64, f64) {
+        let mut total = 0.0;
+        let mut left = 0.0;
+        for (i, unit) in self.units.iter().enumerate() {
+            let step = self.step(i);
+            let one = step.need.cpu.0 as f64 * step.estimate.0 as f64 / 1e6;
+            total += one * unit.tasks.len() as f64;
+            left += one * (unit.tasks.len() - unit.done) as f64;
+        }
+        (total, left)
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.units.iter().all(|unit| unit.done == unit.tasks.len())
     }
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -37,8 +37,11 @@
 /// Cost of a worker whose last run failed.
 const SUSPECT_COST: u64 = 24_000;
 
+/// Share of a mean job's worth that each job has whatever its size, as the users weigh jobs.
+const FIXED_WORTH: f64 = 0.3;
+
 /// Rank of a job among all that wait; the lowest goes first.
-type Rank = (u32, u8, Millis);
+type Rank = (u32, u8, u64, Millis);
 
 impl Scheduler {
     /// Assigns ready tasks to workers; their starts follow once the records are durable.
@@ -78,7 +81,20 @@
         } else {
             u8::from(now + job.rest() > job.objective_at)
         };
-        Some((queue.priority, late, job.objective_at))
+        Some((queue.priority, late, self.price(job), job.objective_at))
+    }
+
+    /// Work that is left for what the job is worth, in thousandths: under overload, the least
+    /// work for the most worth goes first. A part of the worth does not depend on the size.
+    fn price(&self, job: &Job) -> u64 {
+        let (work, left) = job.work();
+        let mean = self.mean_work.get(&job.spec.queue).copied().unwrap_or(work);
+        let worth = FIXED_WORTH * mean + (1.0 - FIXED_WORTH) * work;
+        if worth > 0.0 {
+            (left * 1000.0 / worth) as u64
+        } else {
+            0
+        }
     }
 
     fn plan_job(&mut self, id: &JobId, misses: &mut usize, now: Millis) -> usize {
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -24,6 +24,9 @@
     pub harm: Millis,
 }
 
+/// Weight of a new job in the mean work of its queue: some 20 jobs count.
+const MEAN_WORK_GAIN: f64 = 0.05;
+
 /// Longest wait of a worker for an end before it answers.
 const HOLD_WAIT: Millis = Millis(900);
 
@@ -54,6 +57,8 @@
     pub(super) orders: Vec<Order>,
     pub(super) dirty: BTreeSet<JobId>,
     pub(super) active: BTreeSet<JobId>,
+    /// Mean work of the jobs of each queue, in core-seconds.
+    pub(super) mean_work: HashMap<String, f64>,
     pub(super) interference: Interference,
     pub(super) replan: bool,
     pub(super) may_start: bool,
@@ -73,6 +78,7 @@
             orders: Vec::new(),
             dirty: BTreeSet::new(),
             active: BTreeSet::new(),
+            mean_work: HashMap::new(),
             interference: Interference::default(),
             replan: true,
             may_start: true,
@@ -108,6 +114,9 @@
             Some(queue) => queue.objective(job.spec.chain()),
             None => job.spec.chain().scale_permille(1500),
         };
+        let (work, _) = job.work();
+        let mean = self.mean_work.entry(job.spec.queue.clone()).or_insert(work);
+        *mean += MEAN_WORK_GAIN * (work - *mean);
         let age = Millis(wall.0.saturating_sub(job.spec.submitted.0));
         job.objective_at = (now + job.span) - age.min(now);
         if let Some((record, revision)) = &record
