--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -5,6 +5,9 @@
 /// Key of the leader; its revision is the fencing token.
 pub(super) const LEADER: &str = "sapphirecroft/leader";
 
+/// Key of what the leader has learned of disturbance between tasks.
+pub(super) const LEARNED: &str = "sapphirecroft/learned";
+
 /// Prefix of what callers have asked for: jobs and cancellations.
 pub(super) const INTAKE: &str = "sapphirecroft/in/";
 
--- a/src/entry/leader.rs
+++ b/src/entry/leader.rs
@@ -11,7 +11,7 @@
 use super::committer::run_committer;
 use super::config_watch::{RETRY_PAUSE, WATCH_WAIT};
 use super::election::OUTAGE_HOLD;
-use super::keys::{INTAKE, LEADER};
+use super::keys::{INTAKE, LEADER, LEARNED};
 use super::load::{apply_intake, apply_worker, load, load_workers};
 use super::ports::{Change, News, Outcome, Transaction};
 use super::pump::run_planner;
@@ -35,6 +35,9 @@
 /// drain must be known within 2 s.
 const WORKERS_GATHER: Duration = Duration::from_millis(350);
 
+/// Time between two writes of what was learned, some 30 KB each.
+const LEARNED_EVERY: Duration = Duration::from_secs(3);
+
 /// Writers of records; each has one transaction under way.
 const COMMITTERS: usize = 2;
 
@@ -116,6 +119,7 @@
         tasks.spawn(watch_workers(leader.clone(), workers_at));
         tasks.spawn(tick(leader.clone()));
         tasks.spawn(run_planner(leader.clone()));
+        tasks.spawn(keep_learned(leader.clone()));
         for _ in 0..COMMITTERS {
             tasks.spawn(run_committer(leader.clone()));
         }
@@ -276,6 +280,27 @@
     }
 }
 
+/// Writes what was learned for a successor; it would learn for seconds at the cost of tasks.
+async fn keep_learned(leader: Arc<Leader>) {
+    loop {
+        tokio::time::sleep(LEARNED_EVERY).await;
+        let value = match leader.sched.lock().learned() {
+            Ok(value) => value,
+            Err(err) => {
+                tracing::error!(%err, "what was learned cannot be encoded");
+                return;
+            }
+        };
+        let txn = Transaction {
+            expected: vec![(LEADER.to_string(), leader.fence)],
+            writes: vec![(LEARNED.to_string(), value, 0)],
+            removes: Vec::new(),
+        };
+        let written = leader.shared.store.commit(&txn, RENEW_TIMEOUT).await;
+        leader.shared.note_store("commit", &written);
+    }
+}
+
 async fn tick(leader: Arc<Leader>) {
     loop {
         tokio::time::sleep(TICK).await;
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use super::config_watch::RETRY_PAUSE;
-use super::keys::{INTAKE, Intake, RECORDS, intake, record_id};
+use super::config_watch::{GET_TIMEOUT, RETRY_PAUSE};
+use super::keys::{INTAKE, Intake, LEARNED, RECORDS, intake, record_id};
 use super::leader::Leader;
 use super::ports::{Change, Item};
 use super::shared::Shared;
@@ -32,6 +32,14 @@
         apply_intake(&mut leader.sched.lock(), item, Some(&mut known), now, wall);
     }
     let workers_at = load_workers(leader).await?;
+    let learned = leader.shared.store.get(LEARNED, GET_TIMEOUT).await;
+    leader.shared.note_store("get", &learned);
+    // Without it the leader learns anew, so a failed read does not keep it from leading.
+    if let Ok((Some(item), _)) = learned
+        && !leader.sched.lock().set_learned(&item.value)
+    {
+        tracing::warn!(revision = item.revision, "what was learned cannot be used");
+    }
     Some((intake_at, workers_at))
 }
 
--- a/src/scheduler/interference.rs
+++ b/src/scheduler/interference.rs
@@ -30,18 +30,31 @@
 
 /// The learned model.
 #[derive(Clone, Debug, Default)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Interference {
     images: HashMap<String, usize>,
     models: HashMap<String, Model>,
 }
 
 #[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Model {
     mean: Vec<f64>,
     covariance: Vec<Vec<f64>>,
 }
 
 impl Interference {
+    /// Tells whether all parts have the size that this version of the program uses.
+    pub fn is_sound(&self) -> bool {
+        let size = MAX_IMAGES + 1;
+        self.images.values().all(|index| *index < size)
+            && self.models.values().all(|model| {
+                model.mean.len() == size
+                    && model.covariance.len() == size
+                    && model.covariance.iter().all(|row| row.len() == size)
+            })
+    }
+
     /// Learns from a tail of a task of image `serving` beside these uses.
     pub fn learn(&mut self, serving: &str, tail_ms: u64, uses: &[Usage]) {
         if tail_ms == 0 {
--- a/src/scheduler/sharing.rs
+++ b/src/scheduler/sharing.rs
@@ -23,12 +23,12 @@
 /// Time at pace 0 after which a run is moved to another worker.
 const MOVE_AFTER: Millis = Millis(900);
 
-/// Time over a target after which all tasks that fill are halted, whatever the model says of
-/// them: a harm counts after 4 s, and a halt shows after about one.
-const HALT_AFTER: Millis = Millis(1000);
+/// Part of the time after which a harm counts, in thousandths, after which all tasks that fill are
+/// halted, whatever the model says of them; a halt shows within another such part.
+const HALT_PERMILLE: u64 = 250;
 
-/// Time over a target after which they are ended.
-const END_AFTER: Millis = Millis(2000);
+/// Part of that time after which they are ended.
+const END_PERMILLE: u64 = 500;
 
 /// Weight of a new sample in a serving run's residual; its load swings within about 14 s.
 const RESIDUAL_GAIN: f64 = 0.4;
@@ -179,12 +179,12 @@
             .collect();
         let any_noisy = fillers.iter().any(|(_, noise)| *noise > NOISY_COEFFICIENT);
         for (key, noise) in fillers {
-            if since > END_AFTER {
+            if since > self.timing.harm.scale_permille(END_PERMILLE) {
                 tracing::info!(task = %key, worker = %id, serving, "run ends beside a serving task over its target");
                 self.stop(id, &key, now);
                 continue;
             }
-            if since > HALT_AFTER {
+            if since > self.timing.harm.scale_permille(HALT_PERMILLE) {
                 self.send_pace(id, &key, 0, now);
                 continue;
             }
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -389,6 +389,22 @@
         (worker.handled > worker.seen).then_some(UNSEEN_PAUSE)
     }
 
+    /// Encodes what was learned of disturbance, for a successor.
+    pub fn learned(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+        rmp_serde::to_vec(&self.interference)
+    }
+
+    /// Takes over what a former leader has learned; returns whether it could be used.
+    pub fn set_learned(&mut self, value: &[u8]) -> bool {
+        match rmp_serde::from_slice::<Interference>(value) {
+            Ok(learned) if learned.is_sound() => {
+                self.interference = learned;
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Tells whether a round of planning may find something to assign.
     pub fn wants_plan(&self) -> bool {
         self.replan && self.may_start
--- a/tests/sharing_cases.rs
+++ b/tests/sharing_cases.rs
@@ -122,3 +122,39 @@
     );
     assert!(calm <= 1);
 }
+
+/// Guards against a successor that learns the noisy pairs anew, at the cost of serving tasks.
+#[test]
+fn a_successor_takes_over_what_was_learned() {
+    let mut first = leader(Millis(0));
+    let (serve, fill) = together(&mut first, "noisy");
+    for now in (500..10_000).step_by(500).map(Millis) {
+        let (tail, used) = if now.0 % 1000 == 0 {
+            (45, 8000)
+        } else {
+            (12, 0)
+        };
+        let running = vec![row(&serve, 100, tail), row(&fill, 50, used)];
+        let lists = Report {
+            running,
+            ..Report::default()
+        };
+        report(&mut first, &serve.worker, 1, now, lists);
+    }
+    let learned = first.learned().expect("encodes");
+
+    let placed = |learned: Option<&[u8]>| {
+        let mut second = leader(Millis(0));
+        if let Some(learned) = learned {
+            assert!(second.set_learned(learned));
+        }
+        join(&mut second, entry(1, 1, 64_000, 64_000), Millis(0));
+        submit(&mut second, "serve", serving("s"), Millis(0));
+        settle(&mut second, 1, Millis(0));
+        submit(&mut second, "fill", filling("noisy", 4), Millis(10));
+        starts(&settle(&mut second, 2, Millis(10))).len()
+    };
+
+    assert!(placed(Some(&learned)) < placed(None));
+    assert!(!leader(Millis(0)).set_learned(b"not a model"));
+}
