--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -39,6 +39,10 @@
 /// Shortest time between two reads of a worker; ends that come together share a read.
 const READ_GAP: Millis = Millis(20);
 
+/// Part of that time for each worker, in thousandths of a millisecond: the reads of all workers
+/// together stay below some 6,700 a second, which a leader on half a core can take in.
+const READ_GAP_PER_WORKER_US: u64 = 150;
+
 /// Pause of a worker that runs nothing.
 const IDLE_PAUSE: Millis = Millis(3000);
 
@@ -341,6 +345,9 @@
     pub fn hold_plan(&mut self, id: &WorkerId, now: Millis) -> HoldPlan {
         let lease = self.timing.run_lease;
         let fence = self.fence;
+        let read_gap = READ_GAP.max(Millis(
+            self.workers.len() as u64 * READ_GAP_PER_WORKER_US / 1000,
+        ));
         let Some(worker) = self.workers.get_mut(id) else {
             return HoldPlan::Forget;
         };
@@ -351,7 +358,7 @@
             self.workers.remove(id);
             return HoldPlan::Forget;
         }
-        let gap = (worker.heard + READ_GAP).since(now);
+        let gap = (worker.heard + read_gap).since(now);
         if worker.fenced && gap > Millis::ZERO && worker.misses == 0 {
             return HoldPlan::Pause(gap);
         }
