--- a/src/scheduler/intake.rs
+++ b/src/scheduler/intake.rs
@@ -202,7 +202,11 @@
         if worker.runs.contains_key(&row.task) {
             return;
         }
-        worker.insert(row.task.clone(), Run::stray(row.run, room, cpu, now));
+        let stray = Run {
+            state: RunState::Stopping,
+            ..Run::new(row.run, room, cpu, now)
+        };
+        worker.insert(row.task.clone(), stray);
         self.call_stop(id, &row.task, now);
     }
 
@@ -323,29 +327,3 @@
         }
     }
 }
-
-impl Run {
-    /// A run that nobody wants.
-    fn stray(run: u32, room: Resources, cpu: Millicores, now: Millis) -> Self {
-        Self {
-            run,
-            state: RunState::Stopping,
-            room,
-            cpu,
-            fills: false,
-            lasting: false,
-            image: String::new(),
-            target: None,
-            settled: None,
-            called: now,
-            calling: false,
-            started: now,
-            percent: 0,
-            moved: now,
-            gauge: 0,
-            pace: 100,
-            paced: Millis::ZERO,
-            residual: 0.0,
-        }
-    }
-}
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -75,6 +75,10 @@
 
     pub(super) fn rank(&self, job: &Job, now: Millis) -> Option<Rank> {
         let queue = self.queues.queues.get(&job.spec.queue)?;
+        // A task that lasts may not wait while it fits somewhere, however long the queue is.
+        if job.spec.steps.iter().any(|step| step.lasting) {
+            return Some((queue.priority, 0, 0, job.objective_at));
+        }
         let worthless = job.objective_at + job.span.scale_permille((WORTHLESS_FACTOR - 1) * 1000);
         let late = if now > worthless {
             2
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -448,26 +448,13 @@
     }
 }
 
-pub(super) fn new_run(job: &Job, unit: usize, run: u32, now: Millis) -> Run {
+pub(super) fn new_run(job: &Job, unit: usize, number: u32, now: Millis) -> Run {
     let step = job.step(unit);
     Run {
-        run,
-        state: RunState::Sent,
-        room: step.room(),
-        cpu: step.need.cpu,
         fills: step.fills,
         lasting: step.lasting,
         image: step.image.clone(),
         target: step.tail_target,
-        settled: None,
-        called: now,
-        calling: false,
-        started: now,
-        percent: 0,
-        moved: now,
-        gauge: 0,
-        pace: 100,
-        paced: Millis::ZERO,
-        residual: 0.0,
+        ..Run::new(number, step.room(), step.need.cpu, now)
     }
 }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -63,6 +63,32 @@
     pub residual: f64,
 }
 
+impl Run {
+    /// A run of which nothing but its size is known.
+    pub fn new(run: u32, room: Resources, cpu: Millicores, now: Millis) -> Self {
+        Self {
+            run,
+            state: RunState::Sent,
+            room,
+            cpu,
+            fills: false,
+            lasting: false,
+            image: String::new(),
+            target: None,
+            settled: None,
+            called: now,
+            calling: false,
+            started: now,
+            percent: 0,
+            moved: now,
+            gauge: 0,
+            pace: 100,
+            paced: Millis::ZERO,
+            residual: 0.0,
+        }
+    }
+}
+
 /// A worker with everything that takes its room.
 #[derive(Clone, Debug, Default)]
 pub struct Worker {
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -294,3 +294,22 @@
 
     assert_eq!(views, [Some(JobView::Running), Some(JobView::Failed)]);
 }
+
+/// Guards against a lasting task that waits behind a long queue although it fits somewhere.
+#[test]
+fn lasting_tasks_do_not_wait_behind_a_long_queue() {
+    let mut sched = leader(Millis(0));
+    join(&mut sched, entry(1, 1, 8000, 8000), Millis(0));
+    for at in 0..100 {
+        let wide = job("urgent", vec![step(1, 9000, 1000)]);
+        submit(&mut sched, &format!("j{at}"), wide, Millis(0));
+    }
+    let mut lasting = step(1, 1000, 1000);
+    lasting.lasting = true;
+    submit(&mut sched, "last", job("urgent", vec![lasting]), Millis(0));
+
+    let started = starts(&settle(&mut sched, 1, Millis(60_000)));
+
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].task.job, id("last"));
+}
