--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -4,6 +4,8 @@
 
 mod blame;
 mod commit;
+mod entries;
+mod hold;
 mod intake;
 mod interference;
 mod job;
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -5,8 +5,7 @@
 use super::interference::Interference;
 use super::worker::{Run, RunState};
 use super::{
-    HoldPlan, Job, JobRecord, JobSpec, JobView, Order, Phase, QueueTable, StopOrder, TaskKey,
-    Worker, WorkerEntry,
+    Job, JobRecord, JobSpec, JobView, Order, Phase, QueueTable, StopOrder, TaskKey, Worker,
 };
 use crate::prelude::*;
 
@@ -27,25 +26,6 @@
 /// Weight of a new job in the mean work of its queue: some 20 jobs count.
 const MEAN_WORK_GAIN: f64 = 0.05;
 
-/// Longest wait of a worker for an end before it answers.
-const HOLD_WAIT: Millis = Millis(900);
-
-/// Such a wait where tails have to be watched; the figures are of half a second.
-const SHARING_WAIT: Millis = Millis(500);
-
-/// Pause between two reads while ends wait for the store.
-const UNSEEN_PAUSE: Millis = Millis(200);
-
-/// Shortest time between two reads of a worker; ends that come together share a read.
-const READ_GAP: Millis = Millis(20);
-
-/// Part of that time for each worker, in thousandths of a millisecond: the reads of all workers
-/// together stay below some 6,700 a second, which a leader on half a core can take in.
-const READ_GAP_PER_WORKER_US: u64 = 150;
-
-/// Pause of a worker that runs nothing.
-const IDLE_PAUSE: Millis = Millis(3000);
-
 /// Allowance for the rate of a worker's clock, in thousandths.
 pub(super) const CLOCK_DRIFT_PERMILLE: u64 = 25;
 
@@ -246,156 +226,6 @@
         }
     }
 
-    /// Notes what a worker says of itself in the store.
-    pub fn set_entry(&mut self, entry: WorkerEntry, now: Millis) {
-        let worker = self.worker(&entry.id, entry.born);
-        let reborn = entry.born > worker.born;
-        let older = entry.born < worker.born;
-        if older {
-            return;
-        }
-        let changed = worker.entry.as_ref() != Some(&entry);
-        let draining = entry.draining && !worker.entry.as_ref().is_some_and(|known| known.draining);
-        worker.address.clone_from(&entry.address);
-        let id = entry.id.clone();
-        worker.entry = Some(entry.clone());
-        if changed {
-            tracing::info!(worker = %id, born = entry.born, draining = entry.draining, "worker entry");
-            self.replan = true;
-        }
-        if reborn {
-            self.reborn(&id, entry.born, now);
-        }
-        if draining {
-            self.leave_draining(&id, now);
-        }
-    }
-
-    /// Notes that a worker has no entry any more; its runs stay until they have lapsed.
-    pub fn remove_entry(&mut self, id: &WorkerId) {
-        if let Some(worker) = self.workers.get_mut(id) {
-            tracing::info!(worker = %id, runs = worker.runs.len(), "worker entry is gone");
-            worker.entry = None;
-        }
-    }
-
-    /// Removes the entries of workers that a full read of the store does not show.
-    pub fn retain_entries(&mut self, ids: &BTreeSet<WorkerId>) {
-        let gone: Vec<WorkerId> = self
-            .workers
-            .values()
-            .filter(|worker| worker.entry.is_some() && !ids.contains(&worker.id))
-            .map(|worker| worker.id.clone())
-            .collect();
-        for id in gone {
-            self.remove_entry(&id);
-        }
-    }
-
-    /// Starts a new life of a worker: nothing of the old one runs any more.
-    pub(super) fn reborn(&mut self, id: &WorkerId, born: u64, now: Millis) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        tracing::info!(worker = %id, born, runs = worker.runs.len(), "worker has started anew");
-        let place = worker.place();
-        worker.born = born;
-        worker.fenced = false;
-        worker.clock = None;
-        worker.lease = Millis::ZERO;
-        worker.handled = 0;
-        worker.seen = 0;
-        worker.unseen.clear();
-        worker.misses = 0;
-        let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
-        for key in keys {
-            let Some(run) = worker.runs.get_mut(&key) else {
-                continue;
-            };
-            // An unanswered start may still be carried out by the new life.
-            if matches!(run.state, RunState::Sent) && run.calling {
-                run.state = RunState::Stopping;
-                run.settled = None;
-                run.called = now;
-                continue;
-            }
-            let number = run.run;
-            worker.drop_run(&key);
-            if let Some(job) = self.jobs.get_mut(&key.job)
-                && job.release(&key, &place, number)
-            {
-                self.dirty.insert(key.job.clone());
-            }
-        }
-        for (key, run) in &worker.runs {
-            if let Some(job) = self.jobs.get_mut(&key.job)
-                && let Some(task) = job.task_mut(key)
-                && task.run == run.run
-                && let Some(place) = &mut task.place
-            {
-                place.born = born;
-                job.version += 1;
-                self.dirty.insert(key.job.clone());
-            }
-        }
-        self.replan = true;
-    }
-
-    /// Tells what to ask of a worker next.
-    pub fn hold_plan(&mut self, id: &WorkerId, now: Millis) -> HoldPlan {
-        let lease = self.timing.run_lease;
-        let fence = self.fence;
-        let read_gap = READ_GAP.max(Millis(
-            self.workers.len() as u64 * READ_GAP_PER_WORKER_US / 1000,
-        ));
-        let Some(worker) = self.workers.get_mut(id) else {
-            return HoldPlan::Forget;
-        };
-        if worker.address.is_empty() {
-            return HoldPlan::Pause(UNSEEN_PAUSE);
-        }
-        if worker.entry.is_none() && worker.runs.is_empty() {
-            self.workers.remove(id);
-            return HoldPlan::Forget;
-        }
-        let gap = (worker.heard + read_gap).since(now);
-        if worker.fenced && gap > Millis::ZERO && worker.misses == 0 {
-            return HoldPlan::Pause(gap);
-        }
-        let waiting = worker.handled > worker.seen;
-        if worker.fenced && worker.runs.is_empty() && !waiting && worker.misses == 0 {
-            return HoldPlan::Pause(IDLE_PAUSE);
-        }
-        // A read of a worker that was silent must not move the time of its lapse.
-        let renews = worker.fenced && worker.misses == 0;
-        let deadline = worker
-            .clock_at(now)
-            .filter(|_| renews)
-            .map(|clock| clock + lease);
-        worker.lease = worker.lease.max(deadline.unwrap_or_default());
-        HoldPlan::Call {
-            address: worker.address.clone(),
-            fence,
-            last_seen: worker.seen,
-            deadline,
-            wait: if worker.fenced && !waiting && worker.misses == 0 {
-                if worker.serving > 0 && worker.filling.0 > 0 {
-                    SHARING_WAIT
-                } else {
-                    HOLD_WAIT
-                }
-            } else {
-                Millis::ZERO
-            },
-        }
-    }
-
-    /// Tells how long to wait after an answer whose ends the store has not yet recorded.
-    pub fn unseen_pause(&self, id: &WorkerId) -> Option<Millis> {
-        let worker = self.workers.get(id)?;
-        (worker.handled > worker.seen).then_some(UNSEEN_PAUSE)
-    }
-
     /// Encodes what was learned of disturbance, for a successor.
     pub fn learned(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
         rmp_serde::to_vec(&self.interference)
