--- a/src/scheduler/intake.rs
+++ b/src/scheduler/intake.rs
@@ -101,8 +101,11 @@
             return 0;
         };
         if !job.is_active() {
-            job.release(key, place, end.run);
-            return job.durable;
+            // The end must not be forgotten before the phase that makes it needless is durable.
+            if job.release(key, place, end.run) {
+                self.dirty.insert(key.job.clone());
+            }
+            return job.version;
         }
         let Some(unit) = job.unit_of(key) else {
             return 0;
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -1,6 +1,6 @@
 //! All state of a leader, and what changes it from outside.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::interference::Interference;
 use super::worker::{Run, RunState};
@@ -34,8 +34,8 @@
     pub(super) timing: Timing,
     pub(super) fence: u64,
     pub(super) began: Millis,
-    pub(super) jobs: HashMap<JobId, Job>,
-    pub(super) workers: HashMap<WorkerId, Worker>,
+    pub(super) jobs: BTreeMap<JobId, Job>,
+    pub(super) workers: BTreeMap<WorkerId, Worker>,
     pub(super) queues: Arc<QueueTable>,
     pub(super) fresh: Vec<WorkerId>,
     pub(super) orders: Vec<Order>,
@@ -55,8 +55,8 @@
             timing,
             fence,
             began: now,
-            jobs: HashMap::new(),
-            workers: HashMap::new(),
+            jobs: BTreeMap::new(),
+            workers: BTreeMap::new(),
             queues,
             fresh: Vec::new(),
             orders: Vec::new(),
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -1,6 +1,6 @@
 //! A worker in the leader's memory.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use super::blame::Blame;
 use super::{Place, TaskKey};
@@ -107,7 +107,7 @@
     pub(super) busy: u64,
     /// Headroom of each serving run beside the present tasks; `None` if not up to date.
     pub(super) margins: Option<Vec<(String, f64)>>,
-    pub(super) runs: HashMap<TaskKey, Run>,
+    pub(super) runs: BTreeMap<TaskKey, Run>,
     /// Own time and the worker's clock at its last answer.
     pub(super) clock: Option<(Millis, Millis)>,
     /// Latest end of its lease that was ever sent, on its clock.
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -313,3 +313,30 @@
     assert_eq!(started.len(), 1);
     assert_eq!(started[0].task.job, id("last"));
 }
+
+/// Guards against an end that its worker forgets while the phase of its job is not durable: a
+/// successor would start the task again.
+#[test]
+fn an_end_waits_for_the_phase_of_its_job() {
+    let mut sched = leader(Millis(0));
+    join(&mut sched, entry(1, 1, 8000, 8000), Millis(0));
+    let spec = job("urgent", vec![step(2, 1000, 1000)]);
+    submit(&mut sched, "a", spec, Millis(0));
+    let sent = starts(&settle(&mut sched, 1, Millis(0)));
+    for start in &sent {
+        answer(&mut sched, start, StartAnswer::Started, Millis(5));
+    }
+    sched.cancel(&id("a"), Millis(10), Timestamp(10));
+
+    let lists = Report {
+        ended: vec![ended(1, &sent[0].task, 1, EndKind::Done)],
+        running: vec![running(&sent[1].task, 1)],
+        ..Report::default()
+    };
+    report(&mut sched, &sent[0].worker, 1, Millis(20), lists);
+    let waits = sched.unseen_pause(&sent[0].worker).is_some();
+    settle(&mut sched, 2, Millis(30));
+
+    assert!(waits, "the cancellation is not durable yet");
+    assert!(sched.unseen_pause(&sent[0].worker).is_none());
+}
