Free runs, acknowledge ends and remove the leader's key in one place each

Every report and every write scanned all workers for ends, and every write woke the reads of all workers, whose stored wake-ups made them read again too early; now a report looks at its own worker and a write wakes only workers whose ends it covers. Checked by the scheduler, sharing and platform path tests and the linter.

--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -36,8 +36,11 @@
         leader.shared.note_store("commit", &outcome);
         match outcome {
             Ok(Outcome::Done(revision)) => {
-                leader.change(|sched, now| sched.committed(&batch, revision, now));
-                wake_holds(&leader);
+                let mut covered = Vec::new();
+                leader.change(|sched, now| covered = sched.committed(&batch, revision, now));
+                for id in &covered {
+                    leader.wake_hold(id);
+                }
             }
             Ok(Outcome::Conflict(items)) => {
                 let held = items
@@ -64,10 +67,3 @@
         }
     }
 }
-
-/// Lets workers whose ends are now durable be told so.
-fn wake_holds(leader: &Leader) {
-    for wake in leader.holds.lock().values() {
-        wake.notify_one();
-    }
-}
--- a/src/entry/election.rs
+++ b/src/entry/election.rs
@@ -99,13 +99,7 @@
             return Some(at.max(item.revision));
         }
         // The key belongs to an earlier process at this address, which has ended.
-        let txn = Transaction {
-            expected: vec![(LEADER.to_string(), item.revision)],
-            removes: vec![LEADER.to_string()],
-            ..Transaction::default()
-        };
-        let removed = shared.store.commit(&txn, CLAIM_TIMEOUT).await;
-        shared.note_store("commit", &removed);
+        let removed = remove_key(shared, item.revision).await;
         removed.ok()?;
     }
     set_name(shared, None);
@@ -124,6 +118,18 @@
     None
 }
 
+/// Removes the leader's key if it still has this revision.
+pub(super) async fn remove_key(shared: &Shared, revision: u64) -> Result<Outcome, StoreError> {
+    let txn = Transaction {
+        expected: vec![(LEADER.to_string(), revision)],
+        removes: vec![LEADER.to_string()],
+        ..Transaction::default()
+    };
+    let removed = shared.store.commit(&txn, CLAIM_TIMEOUT).await;
+    shared.note_store("commit", &removed);
+    removed
+}
+
 fn is_stale(shared: &Shared, item: &Item) -> bool {
     decode(item).is_some_and(|name| {
         name.address == shared.cfg.peer && name.incarnation != shared.incarnation
--- a/src/entry/leader.rs
+++ b/src/entry/leader.rs
@@ -10,7 +10,7 @@
 
 use super::committer::run_committer;
 use super::config_watch::{RETRY_PAUSE, WATCH_WAIT};
-use super::election::OUTAGE_HOLD;
+use super::election::{OUTAGE_HOLD, remove_key};
 use super::keys::{INTAKE, LEADER, LEARNED};
 use super::load::{apply_intake, apply_worker, load, load_workers};
 use super::ports::{Change, News, Outcome, Transaction};
@@ -137,13 +137,7 @@
 
 /// Removes the key, so that a successor need not wait for the lease to run out.
 async fn hand_over(leader: &Leader) {
-    let txn = Transaction {
-        expected: vec![(LEADER.to_string(), leader.fence)],
-        removes: vec![LEADER.to_string()],
-        ..Transaction::default()
-    };
-    let removed = leader.shared.store.commit(&txn, RENEW_TIMEOUT).await;
-    leader.shared.note_store("commit", &removed);
+    let removed = remove_key(&leader.shared, leader.fence).await;
     match removed {
         Ok(Outcome::Done(_)) => tracing::info!(fence = leader.fence, "leadership handed over"),
         other => tracing::warn!(fence = leader.fence, ?other, "leader's key not removed"),
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -10,6 +10,9 @@
 use crate::prelude::*;
 use crate::scheduler::{JobRecord, JobSpec, Scheduler};
 
+/// Failed pages after which a read is given up.
+const MAX_FAILURES: usize = 8;
+
 /// Reads jobs, records and workers; returns the revisions to watch from.
 pub(super) async fn load(leader: &Arc<Leader>) -> Option<(u64, u64)> {
     let (records, _) = read_all(&leader.shared, RECORDS).await?;
@@ -149,6 +152,3 @@
         }
     }
 }
-
-/// Failed pages after which a read is given up.
-const MAX_FAILURES: usize = 8;
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -51,6 +51,13 @@
         }
     }
 
+    /// Ends the pause between two reads of a worker.
+    pub fn wake_hold(&self, id: &WorkerId) {
+        if let Some(wake) = self.holds.lock().get(id) {
+            wake.notify_one();
+        }
+    }
+
     fn watch_worker(self: &Arc<Self>, id: WorkerId) {
         let wake = Arc::new(Notify::new());
         self.holds.lock().insert(id.clone(), wake.clone());
@@ -87,10 +94,7 @@
                     leader.change(|sched, now| {
                         sched.start_answered(&order.worker, &order.task, order.run, answer, now);
                     });
-                    let wake = leader.holds.lock().get(&order.worker).cloned();
-                    if let Some(wake) = wake {
-                        wake.notify_one();
-                    }
+                    leader.wake_hold(&order.worker);
                 });
             }
             Order::Stop(order) => {
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -64,8 +64,8 @@
         (!writes.is_empty()).then_some(Batch { writes })
     }
 
-    /// Notes that a batch is durable under `revision`.
-    pub fn committed(&mut self, batch: &Batch, revision: u64, now: Millis) {
+    /// Notes that a batch is durable under `revision`; returns the workers whose ends it covers.
+    pub fn committed(&mut self, batch: &Batch, revision: u64, now: Millis) -> Vec<WorkerId> {
         for write in &batch.writes {
             let Some(job) = self.jobs.get_mut(&write.job) else {
                 continue;
@@ -79,7 +79,16 @@
             }
             self.release_starts(&write.job, now);
         }
-        self.acknowledge_ends();
+        let waiting: Vec<WorkerId> = self
+            .workers
+            .values()
+            .filter(|worker| !worker.unseen.is_empty())
+            .map(|worker| worker.id.clone())
+            .collect();
+        waiting
+            .into_iter()
+            .filter(|id| self.acknowledge_ends(id))
+            .collect()
     }
 
     /// Notes that a batch was not written, or that nobody knows; it is written again.
@@ -177,22 +186,26 @@
         }));
     }
 
-    pub(super) fn acknowledge_ends(&mut self) {
-        for worker in self.workers.values_mut() {
-            while let Some((number, job, version)) = worker.unseen.front() {
-                let durable = self
-                    .jobs
-                    .get(job)
-                    .is_none_or(|found| found.durable >= *version);
-                if !durable {
-                    break;
-                }
-                worker.seen = *number;
-                worker.unseen.pop_front();
-            }
-            if worker.unseen.is_empty() {
-                worker.seen = worker.handled;
+    /// Lets a worker forget the ends that are durable; returns whether there are new ones.
+    pub(super) fn acknowledge_ends(&mut self, id: &WorkerId) -> bool {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return false;
+        };
+        let before = worker.seen;
+        while let Some((number, job, version)) = worker.unseen.front() {
+            let durable = self
+                .jobs
+                .get(job)
+                .is_none_or(|found| found.durable >= *version);
+            if !durable {
+                break;
             }
+            worker.seen = *number;
+            worker.unseen.pop_front();
+        }
+        if worker.unseen.is_empty() {
+            worker.seen = worker.handled;
         }
+        worker.seen > before
     }
 }
--- a/src/scheduler/entries.rs
+++ b/src/scheduler/entries.rs
@@ -69,6 +69,7 @@
         worker.unseen.clear();
         worker.misses = 0;
         let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
+        let mut freed = Vec::new();
         for key in keys {
             let Some(run) = worker.runs.get_mut(&key) else {
                 continue;
@@ -82,11 +83,7 @@
             }
             let number = run.run;
             worker.drop_run(&key);
-            if let Some(job) = self.jobs.get_mut(&key.job)
-                && job.release(&key, &place, number)
-            {
-                self.dirty.insert(key.job.clone());
-            }
+            freed.push((key, number));
         }
         for (key, run) in &worker.runs {
             if let Some(job) = self.jobs.get_mut(&key.job)
@@ -99,6 +96,9 @@
                 self.dirty.insert(key.job.clone());
             }
         }
+        for (key, number) in freed {
+            self.free_task(&key, &place, number);
+        }
         self.replan = true;
     }
 }
--- a/src/scheduler/intake.rs
+++ b/src/scheduler/intake.rs
@@ -52,7 +52,7 @@
         if report.ended.len() < REPORT_ENDS {
             self.drop_absent(id, asked, report);
         }
-        self.acknowledge_ends();
+        self.acknowledge_ends(id);
         self.watch_sharing(id, now);
     }
 
@@ -215,7 +215,7 @@
 
     /// Frees runs that a complete list does not show.
     fn drop_absent(&mut self, id: &WorkerId, asked: Millis, report: &Report) {
-        let Some(worker) = self.workers.get_mut(id) else {
+        let Some(worker) = self.workers.get(id) else {
             return;
         };
         let place = worker.place();
@@ -232,13 +232,12 @@
             .map(|(key, run)| (key.clone(), run.run))
             .collect();
         for (key, run) in absent {
-            worker.drop_run(&key);
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.drop_run(&key);
+            }
             self.replan = true;
-            if let Some(job) = self.jobs.get_mut(&key.job)
-                && job.release(&key, &place, run)
-            {
+            if self.free_task(&key, &place, run) {
                 tracing::info!(task = %key, run, worker = %id, "run is not on its worker; it starts again");
-                self.dirty.insert(key.job.clone());
             }
         }
     }
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -73,7 +73,7 @@
         assigned
     }
 
-    pub(super) fn rank(&self, job: &Job, now: Millis) -> Option<Rank> {
+    fn rank(&self, job: &Job, now: Millis) -> Option<Rank> {
         let queue = self.queues.queues.get(&job.spec.queue)?;
         // A task that lasts may not wait while it fits somewhere, however long the queue is.
         if job.spec.steps.iter().any(|step| step.lasting) {
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -5,7 +5,7 @@
 use super::interference::Interference;
 use super::worker::{Run, RunState};
 use super::{
-    Job, JobRecord, JobSpec, JobView, Order, Phase, QueueTable, StopOrder, TaskKey, Worker,
+    Job, JobRecord, JobSpec, JobView, Order, Phase, Place, QueueTable, StopOrder, TaskKey, Worker,
 };
 use crate::prelude::*;
 
@@ -191,11 +191,7 @@
                 let number = run.run;
                 let place = found.place();
                 found.drop_run(key);
-                if let Some(job) = self.jobs.get_mut(&key.job)
-                    && job.release(key, &place, number)
-                {
-                    self.dirty.insert(key.job.clone());
-                }
+                self.free_task(key, &place, number);
             }
             RunState::Stopping => {}
             RunState::Sent | RunState::Placed => {
@@ -206,6 +202,18 @@
         }
     }
 
+    /// Notes in its job that a run is gone; returns whether the record changed.
+    pub(super) fn free_task(&mut self, key: &TaskKey, place: &Place, run: u32) -> bool {
+        let freed = self
+            .jobs
+            .get_mut(&key.job)
+            .is_some_and(|job| job.release(key, place, run));
+        if freed {
+            self.dirty.insert(key.job.clone());
+        }
+        freed
+    }
+
     pub(super) fn call_stop(&mut self, worker: &WorkerId, key: &TaskKey, now: Millis) {
         let Some(found) = self.workers.get_mut(worker) else {
             return;
--- a/src/scheduler/tick.rs
+++ b/src/scheduler/tick.rs
@@ -68,12 +68,10 @@
         tracing::warn!(worker = %id, born = worker.born, runs = runs.len(), reason, "runs are lost");
         worker.fenced = false;
         for (key, run) in runs {
-            worker.drop_run(&key);
-            if let Some(job) = self.jobs.get_mut(&key.job)
-                && job.release(&key, &place, run)
-            {
-                self.dirty.insert(key.job.clone());
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.drop_run(&key);
             }
+            self.free_task(&key, &place, run);
         }
         self.replan = true;
     }
