Repeat a start that the lease held back

A start that was planned before the lease ran out and not sent stayed marked as under way, so it was neither repeated nor freed while its leader went on. It is now an unanswered start.

--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -69,11 +69,16 @@
         match order {
             Order::Start(order) => {
                 tokio::spawn(async move {
-                    // A process that was suspended since it planned this must not send it.
-                    if !leader.is_valid() || leader.lost.is_cancelled() {
+                    if leader.lost.is_cancelled() {
                         return;
                     }
-                    let answer = leader.shared.workers.start(&order).await;
+                    // A process that was suspended since it planned this must not send it; the
+                    // start is repeated once the lease is known to hold.
+                    let answer = if leader.is_valid() {
+                        leader.shared.workers.start(&order).await
+                    } else {
+                        StartAnswer::Unknown
+                    };
                     let label = match answer {
                         StartAnswer::Started => "started",
                         StartAnswer::Fenced => "fenced",
