Remove the keys of outdated jobs before they are forgotten

Cause: jobs were forgotten in memory 140 s after their end, but their keys stayed in the store for ever; a read of the store after a lost history would have taken such a job for a new one and run it again. The leader removes the keys, then forgets.

--- a/src/entry/leader.rs
+++ b/src/entry/leader.rs
@@ -11,7 +11,7 @@
 use super::committer::run_committer;
 use super::config_watch::{RETRY_PAUSE, WATCH_WAIT};
 use super::election::{OUTAGE_HOLD, remove_key};
-use super::keys::{INTAKE, LEADER, LEARNED};
+use super::keys::{INTAKE, LEADER, LEARNED, cancel_key, job_key, record_key};
 use super::load::{apply_intake, apply_worker, load, load_workers};
 use super::ports::{Change, News, Outcome, Transaction};
 use super::pump::run_planner;
@@ -31,6 +31,13 @@
 /// Time between two rounds of what only time changes.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Time between two removals of outdated jobs: with `CLEAR_JOBS` 50 jobs a second, more than the
+/// largest site accepts.
+const CLEAR_EVERY: Duration = Duration::from_millis(200);
+
+/// Jobs in one removal: three keys each, within the store's 32 entries beside the leader's key.
+const CLEAR_JOBS: usize = 10;
+
 /// Pause between two watches of the workers, whose heartbeats change many entries a second; a
 /// drain must be known within 2 s.
 const WORKERS_GATHER: Duration = Duration::from_millis(350);
@@ -120,6 +127,7 @@
         tasks.spawn(tick(leader.clone()));
         tasks.spawn(run_planner(leader.clone()));
         tasks.spawn(keep_learned(leader.clone()));
+        tasks.spawn(clear_outdated(leader.clone()));
         for _ in 0..COMMITTERS {
             tasks.spawn(run_committer(leader.clone()));
         }
@@ -295,14 +303,40 @@
     }
 }
 
+/// Removes the keys of jobs that nobody may ask for any more.
+async fn clear_outdated(leader: Arc<Leader>) {
+    loop {
+        tokio::time::sleep(CLEAR_EVERY).await;
+        let wall = leader.shared.clock.wall();
+        let ids = leader.sched.lock().outdated(wall, CLEAR_JOBS);
+        if ids.is_empty() {
+            continue;
+        }
+        let keys = |id| [job_key(id), cancel_key(id), record_key(id)];
+        let txn = Transaction {
+            expected: vec![(LEADER.to_string(), leader.fence)],
+            writes: Vec::new(),
+            removes: ids.iter().flat_map(keys).collect(),
+        };
+        let removed = leader.shared.store.commit(&txn, RENEW_TIMEOUT).await;
+        leader.shared.note_store("commit", &removed);
+        match removed {
+            Ok(Outcome::Done(revision)) => {
+                leader.sched.lock().forget(&ids);
+                tracing::info!(jobs = ids.len(), revision, "outdated jobs removed");
+            }
+            other => tracing::info!(jobs = ids.len(), ?other, "outdated jobs not removed"),
+        }
+    }
+}
+
 async fn tick(leader: Arc<Leader>) {
     loop {
         tokio::time::sleep(TICK).await;
-        let wall = leader.shared.clock.wall();
         let valid = leader.is_valid();
         leader.change(|sched, now| {
             sched.allow_starts(valid);
-            sched.tick(now, wall);
+            sched.tick(now);
         });
         let (jobs, workers, runs) = leader.sched.lock().summary();
         let known = &leader.shared.metrics.known;
--- a/src/scheduler/tick.rs
+++ b/src/scheduler/tick.rs
@@ -16,11 +16,10 @@
 
 impl Scheduler {
     /// Repeats unanswered calls, frees lapsed runs and wakes scheduled work.
-    pub fn tick(&mut self, now: Millis, wall: Timestamp) {
+    pub fn tick(&mut self, now: Millis) {
         self.free_lapsed(now);
         self.repeat_calls(now);
         self.stop_stalled(now);
-        self.forget_ended(wall);
         self.replan = true;
     }
 
@@ -132,11 +131,25 @@
         }
     }
 
-    fn forget_ended(&mut self, wall: Timestamp) {
+    /// Names jobs that nobody may ask for any more; their keys can be removed from the store.
+    pub fn outdated(&self, wall: Timestamp, most: usize) -> Vec<JobId> {
         let keep = self.timing.keep_ended;
-        self.jobs.retain(|_, job| {
-            job.phase == Phase::Active || job.writing || wall.0 < job.ended.0 + keep.0
-        });
+        self.jobs
+            .values()
+            .filter(|job| job.durable_phase != Phase::Active && !job.writing)
+            .filter(|job| wall.0 >= job.ended.0 + keep.0)
+            .map(|job| job.id.clone())
+            .take(most)
+            .collect()
+    }
+
+    /// Forgets jobs whose keys are removed; one that was forgotten before would be taken for a
+    /// new job when the store is read again.
+    pub fn forget(&mut self, ids: &[JobId]) {
+        for id in ids {
+            self.jobs.remove(id);
+            self.dirty.remove(id);
+        }
     }
 
     /// Moves what serves off a worker that drains, one run a step at a time.
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -95,7 +95,7 @@
     for now in (0..12_000).step_by(250).map(Millis) {
         answer(&mut sched, &start, StartAnswer::Unknown, now);
         sched.silent(&start.worker, "silent");
-        sched.tick(now, Timestamp(now.0));
+        sched.tick(now);
         if now == Millis(3000) {
             join(&mut sched, entry(2, 2, 8000, 8000), now);
         }
@@ -340,3 +340,28 @@
     assert!(waits, "the cancellation is not durable yet");
     assert!(sched.unseen_pause(&sent[0].worker).is_none());
 }
+
+/// Guards against a job that is forgotten while its key stays in the store: read again, it would
+/// be taken for a new one and run twice.
+#[test]
+fn an_ended_job_is_known_until_its_keys_are_removed() {
+    let mut sched = leader(Millis(0));
+    let spec = job("urgent", vec![step(1, 1000, 1000)]);
+    submit(&mut sched, "a", spec.clone(), Millis(0));
+    sched.cancel(&id("a"), Millis(10), Timestamp(10));
+    let late = Millis(500_000);
+
+    let undurable = sched.outdated(Timestamp(late.0), 10);
+    settle(&mut sched, 1, Millis(20));
+    let early = sched.outdated(Timestamp(1000), 10);
+    sched.tick(late);
+    submit(&mut sched, "a", spec, late);
+    let known = sched.view(&id("a"));
+    let outdated = sched.outdated(Timestamp(late.0), 10);
+    sched.forget(&outdated);
+
+    assert!(undurable.is_empty() && early.is_empty());
+    assert_eq!(known, Some(JobView::Cancelled));
+    assert_eq!(outdated, [id("a")]);
+    assert_eq!(sched.view(&id("a")), None);
+}
--- a/tests/scheduler_support/sim.rs
+++ b/tests/scheduler_support/sim.rs
@@ -274,7 +274,6 @@
 
     fn lead(&mut self, term: &mut Term) {
         let now = Millis(self.now);
-        let wall = Timestamp(self.now);
         let current = term.replaced.is_none();
         let may_start = term.replaced.is_none_or(|at| self.now < at + OLD_STARTS);
         for (at, worker) in self.workers.iter().enumerate() {
@@ -290,7 +289,7 @@
         for at in 0..WORKERS {
             self.hold(term, at);
         }
-        term.sched.tick(now, wall);
+        term.sched.tick(now);
         term.sched.plan(now);
         while let Some(batch) = term.sched.next_batch() {
             let lost = self.rng.random_bool(0.05);
