Search for workers once for steps that ask for as much, and vacate one for each urgent task

Change: a round notes steps that found no worker, and larger ones are not searched for; room is compared first; headrooms are refreshed for one worker at a time and looked up by index; room that is being made is claimed by the task that waits for it, so each urgent task has a worker vacated instead of one at a time.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -2,6 +2,7 @@
 
 mod colocation;
 pub mod control;
+mod leader;
 mod model_worker;
 mod path;
 mod placement;
@@ -10,6 +11,7 @@
 
 pub use colocation::{ColocationResult, PlacementPolicy, run_colocation};
 pub use control::{ControlReport, run_control};
+pub use leader::{LeaderCost, LeaderReport, run_leader};
 pub use path::{PathReport, Quantiles, run_path};
 pub use placement::{DecisionCost, PlacementReport, run_placement};
 pub use requests::{KillRow, LoadRow, Policy, RequestsReport, SlotSharing, Target, run_requests};
--- a/src/cli/bench.rs
+++ b/src/cli/bench.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::{CliError, Output};
-use crate::bench::{run_control, run_path, run_placement, run_requests};
+use crate::bench::{run_control, run_leader, run_path, run_placement, run_requests};
 
 /// What to measure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,6 +15,7 @@
     Placement,
     Control,
     Path,
+    Leader,
 }
 
 /// Options of a measurement.
@@ -46,7 +47,12 @@
         "path",
         "Added latency and processor time of the request path over loopback",
     );
-    construct!([requests, placement, control, path])
+    let leader = one(
+        Subject::Leader,
+        "leader",
+        "Processor time of the platform leader's decisions by size of the fleet",
+    );
+    construct!([requests, placement, control, path, leader])
         .to_options()
         .descr("Measure; use a release build")
         .command("bench")
@@ -78,6 +84,7 @@
             Subject::Requests => self.blocking(run_requests).await,
             Subject::Placement => self.blocking(run_placement).await,
             Subject::Control => self.blocking(run_control).await,
+            Subject::Leader => self.blocking(run_leader).await,
             Subject::Path => {
                 let report = run_path()
                     .await
--- a/src/scheduler/interference.rs
+++ b/src/scheduler/interference.rs
@@ -33,7 +33,23 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Interference {
     images: HashMap<String, usize>,
-    models: HashMap<String, Model>,
+    /// Places of serving images in `models`.
+    serving: HashMap<String, usize>,
+    models: Vec<Model>,
+}
+
+/// How far one image that fills disturbs each serving image, by the places of these.
+pub(super) struct Noise {
+    known: Vec<f64>,
+}
+
+impl Noise {
+    /// Coefficient for the serving image at a place; `None` stands for an unknown image.
+    pub fn of(&self, serving: Option<usize>) -> f64 {
+        serving
+            .and_then(|at| self.known.get(at).copied())
+            .unwrap_or(PRIOR_COEFFICIENT)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -48,7 +64,8 @@
     pub fn is_sound(&self) -> bool {
         let size = MAX_IMAGES + 1;
         self.images.values().all(|index| *index < size)
-            && self.models.values().all(|model| {
+            && self.serving.values().all(|at| *at < self.models.len())
+            && self.models.iter().all(|model| {
                 model.mean.len() == size
                     && model.covariance.len() == size
                     && model.covariance.iter().all(|row| row.len() == size)
@@ -62,8 +79,12 @@
         }
         let x = self.features(uses);
         let y = (tail_ms as f64).ln();
-        let model = self.models.entry(serving.to_string()).or_default();
-        model.learn(&x, y);
+        let next = self.models.len();
+        let at = *self.serving.entry(serving.to_string()).or_insert(next);
+        if at == next {
+            self.models.push(Model::default());
+        }
+        self.models[at].learn(&x, y);
     }
 
     /// Predicts the logarithm of the tail beside these uses.
@@ -76,20 +97,40 @@
 
     /// Logarithm of the tail of a serving image alone.
     pub fn base(&self, serving: &str) -> f64 {
-        self.models
-            .get(serving)
+        self.model(serving)
             .map_or(PRIOR_BASE_MS.ln(), |model| model.mean[0])
     }
 
     /// Coefficient of a pair; it never speaks for less disturbance than none.
     pub fn coefficient(&self, serving: &str, image: &str) -> f64 {
         let index = self.images.get(image);
-        match (self.models.get(serving), index) {
+        match (self.model(serving), index) {
             (Some(model), Some(index)) => model.mean[*index].max(0.0),
             _ => PRIOR_COEFFICIENT,
         }
     }
 
+    /// Coefficients of one image that fills, for all serving images at once.
+    pub fn noise(&self, image: &str) -> Noise {
+        let known = match self.images.get(image) {
+            Some(index) => {
+                let models = self.models.iter();
+                models.map(|model| model.mean[*index].max(0.0)).collect()
+            }
+            None => Vec::new(),
+        };
+        Noise { known }
+    }
+
+    /// Place of a serving image, if anything is known of it.
+    pub fn place(&self, serving: &str) -> Option<usize> {
+        self.serving.get(serving).copied()
+    }
+
+    fn model(&self, serving: &str) -> Option<&Model> {
+        self.models.get(self.place(serving)?)
+    }
+
     fn features(&mut self, uses: &[Usage]) -> Vec<f64> {
         let mut x = vec![0.0; MAX_IMAGES + 1];
         x[0] = 1.0;
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -43,6 +43,20 @@
     pub done: usize,
 }
 
+impl Unit {
+    /// Numbers of the tasks that are neither done nor on a worker.
+    pub fn open_tasks(&self) -> impl Iterator<Item = usize> {
+        let tasks = self.tasks.iter().enumerate();
+        tasks
+            .filter(|(_, task)| !task.done && task.place.is_none())
+            .map(|(index, _)| index)
+    }
+
+    pub fn has_open_tasks(&self) -> bool {
+        self.open_tasks().next().is_some()
+    }
+}
+
 /// A job with its tasks and the versions of its record.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -184,6 +198,14 @@
         })
     }
 
+    /// Tells whether a task can be assigned.
+    pub(super) fn has_open_tasks(&self, now: Millis) -> bool {
+        let units = self.units.iter().enumerate();
+        units
+            .filter(|(_, unit)| unit.has_open_tasks())
+            .any(|(at, _)| self.is_ready(at, now))
+    }
+
     /// Longest chain of estimated work through the steps that are not done.
     pub(super) fn rest(&self) -> Millis {
         let mut ends = vec![Millis::ZERO; self.units.len()];
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 mod queue;
 mod record;
 mod report;
+mod round;
 mod sharing;
 mod spec;
 mod state;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 
+use super::interference::Noise;
+use super::round::Round;
 use super::state::new_run;
 use super::worker::RunState;
 use super::{Job, Queue, Scheduler, StepSpec, Worker};
@@ -51,24 +53,26 @@
         }
         self.replan = false;
         self.refresh_margins();
-        let mut misses = 0;
-        let mut ranked: Vec<(Rank, JobId)> = self
+        let mut ranked: Vec<(Rank, &JobId)> = self
             .active
             .iter()
             .filter_map(|id| self.jobs.get(id))
-            .filter_map(|job| Some((self.rank(job, now)?, job.id.clone())))
+            .filter(|job| job.has_open_tasks(now))
+            .filter_map(|job| Some((self.rank(job, now)?, &job.id)))
             .collect();
-        ranked.sort();
+        ranked.sort_unstable();
+        let ranked: Vec<JobId> = ranked.into_iter().map(|(_, id)| id.clone()).collect();
+        let mut round = Round::default();
         let mut assigned = 0;
-        for (_, id) in ranked {
+        for id in ranked {
             if assigned >= MAX_ASSIGNED {
                 self.replan = true;
                 break;
             }
-            if misses >= MAX_MISSES {
+            if round.failed >= MAX_MISSES {
                 break;
             }
-            assigned += self.plan_job(&id, &mut misses, now);
+            assigned += self.plan_job(&id, &mut round, now);
         }
         assigned
     }
@@ -101,7 +105,7 @@
         }
     }
 
-    fn plan_job(&mut self, id: &JobId, misses: &mut usize, now: Millis) -> usize {
+    fn plan_job(&mut self, id: &JobId, round: &mut Round, now: Millis) -> usize {
         let Some(mut job) = self.jobs.remove(id) else {
             return 0;
         };
@@ -109,10 +113,9 @@
         let mut assigned = 0;
         if let Some(queue) = queues.queues.get(&job.spec.queue) {
             for unit in 0..job.units.len() {
-                if job.units[unit].done == job.units[unit].tasks.len() || !job.is_ready(unit, now) {
-                    continue;
+                if job.units[unit].has_open_tasks() && job.is_ready(unit, now) {
+                    assigned += self.plan_unit(&mut job, queue, unit, round, now);
                 }
-                assigned += self.plan_unit(&mut job, queue, unit, misses, now);
             }
         }
         if assigned > 0 {
@@ -128,38 +131,47 @@
         job: &mut Job,
         queue: &Queue,
         unit: usize,
-        misses: &mut usize,
+        round: &mut Round,
         now: Millis,
     ) -> usize {
-        let step = job.step(unit).clone();
-        let open: Vec<usize> = job.units[unit]
-            .tasks
-            .iter()
-            .enumerate()
-            .filter(|(_, task)| !task.done && task.place.is_none())
-            .map(|(index, _)| index)
-            .collect();
+        let spec = job.spec.clone();
+        let step = &spec.steps[job.units[unit].step as usize];
+        let open: Vec<usize> = job.units[unit].open_tasks().collect();
         if step.gang && open.len() < job.units[unit].tasks.len() {
             return 0;
         }
         let mut chosen: HashMap<WorkerId, u32> = HashMap::new();
-        for task in &job.units[unit].tasks {
-            if let Some(place) = &task.place {
+        if step.max_per_worker.is_some() {
+            for place in job.units[unit].tasks.iter().flat_map(|task| &task.place) {
                 *chosen.entry(place.worker.clone()).or_default() += 1;
             }
         }
         let gang_run = job.units[unit].tasks.iter().map(|task| task.run).max();
+        let noise = self.interference.noise(&step.image);
         let mut placed = Vec::new();
         for index in open {
-            let last_chance = job.units[unit].tasks[index].failures + 1 >= queue.max_attempts
-                && job.units[unit].tasks[index].failures > 0;
-            let Some(worker) = self.choose(&step, queue, &chosen, last_chance, now) else {
-                *misses += 1;
-                if !step.fills {
-                    let allowed = |worker: &Worker| is_within(&step, worker, &chosen);
-                    self.preempt(&step, queue.priority, &queue.service, allowed, now);
+            let failures = job.units[unit].tasks[index].failures;
+            let ask = Ask {
+                step,
+                service: &queue.service,
+                noise: &noise,
+                chosen: &chosen,
+                last_chance: failures > 0 && failures + 1 >= queue.max_attempts,
+            };
+            let found = if round.is_hopeless(step, &queue.service) {
+                None
+            } else {
+                let found = self.choose(&ask, now);
+                if found.is_none() {
+                    round.missed(step, &queue.service, ask.is_general());
                 }
-                break;
+                found
+            };
+            let Some(worker) = found else {
+                if step.fills || !self.preempt(&ask, queue.priority, round, now) {
+                    break;
+                }
+                continue;
             };
             let key = job.key(unit, index);
             let Some(found) = self.workers.get_mut(&worker) else {
@@ -173,13 +185,15 @@
             };
             task.place = Some(place);
             let number = task.run;
-            let mut run = new_run(job, unit, number, now);
+            let mut run = new_run(job, unit, number, queue.priority, now);
             run.state = RunState::Planned {
                 version: job.version + 1,
             };
             found.insert(key.clone(), run);
-            self.refresh_margins();
-            *chosen.entry(worker.clone()).or_default() += 1;
+            self.refresh_margin(&worker);
+            if step.max_per_worker.is_some() {
+                *chosen.entry(worker.clone()).or_default() += 1;
+            }
             placed.push((worker, key, index));
         }
         if step.gang && placed.len() < job.units[unit].tasks.len() {
@@ -187,6 +201,7 @@
                 if let Some(found) = self.workers.get_mut(&worker) {
                     found.drop_run(&key);
                 }
+                self.refresh_margin(&worker);
                 job.units[unit].tasks[index].place = None;
             }
             return 0;
@@ -194,96 +209,106 @@
         placed.len()
     }
 
-    /// Picks the best worker that has room for one task of `step`.
-    fn choose(
-        &self,
-        step: &StepSpec,
-        queue: &Queue,
-        chosen: &HashMap<WorkerId, u32>,
-        last_chance: bool,
-        now: Millis,
-    ) -> Option<WorkerId> {
-        let room = step.room();
-        self.workers
-            .values()
-            .filter(|worker| self.may_take(worker, step, &queue.service, now))
-            .filter(|worker| room.fits(&worker.free()))
-            .filter(|worker| is_within(step, worker, chosen))
-            .filter(|worker| !last_chance || !worker.blame.is_suspect(now))
-            .filter_map(|worker| {
-                let suspect = u64::from(worker.blame.is_suspect(now)) * SUSPECT_COST;
-                Some((self.cost(worker, step)? + suspect, &worker.id))
-            })
-            .min()
-            .map(|(_, id)| id.clone())
+    /// Picks the best worker that has room for one task of a step.
+    fn choose(&self, ask: &Ask, now: Millis) -> Option<WorkerId> {
+        let room = ask.step.room();
+        let mut best: Option<(u64, &Worker)> = None;
+        for worker in self.workers.values() {
+            if !room.fits(&worker.free()) || !ask.allows(worker, now) {
+                continue;
+            }
+            let suspect = worker.blame.is_suspect(now);
+            if suspect && ask.last_chance {
+                continue;
+            }
+            let Some(cost) = cost(worker, ask) else {
+                continue;
+            };
+            let cost = cost + u64::from(suspect) * SUSPECT_COST;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, worker));
+            }
+        }
+        best.map(|(_, worker)| worker.id.clone())
     }
+}
 
-    /// Tells whether a worker may be given a task of `step` at all, besides its room.
-    pub(super) fn may_take(
-        &self,
-        worker: &Worker,
-        step: &StepSpec,
-        service: &str,
-        now: Millis,
-    ) -> bool {
+/// What one task asks of a worker.
+pub(super) struct Ask<'a> {
+    pub step: &'a StepSpec,
+    pub service: &'a str,
+    /// How far the task disturbs tasks that serve.
+    pub noise: &'a Noise,
+    /// Tasks of the step on each worker, if that number is bounded.
+    pub chosen: &'a HashMap<WorkerId, u32>,
+    /// One more failure fails the job.
+    pub last_chance: bool,
+}
+
+impl Ask<'_> {
+    /// Tells whether a worker may be given the task at all, besides its room.
+    pub fn allows(&self, worker: &Worker, now: Millis) -> bool {
+        if !worker.fenced || worker.misses > 0 || worker.blame.is_resting(now) {
+            return false;
+        }
         let open = worker.entry.as_ref().is_some_and(|entry| {
-            !entry.draining && entry.service == service && entry.born == worker.born
+            !entry.draining && entry.born == worker.born && entry.service == self.service
         });
-        let labelled = step
+        let labelled = self
+            .step
             .requires
             .as_ref()
             .is_none_or(|label| worker.has_label(label));
-        open && labelled && worker.fenced && worker.misses == 0 && !worker.blame.is_resting(now)
+        open && labelled && self.is_within(worker)
     }
 
-    /// Lower is better. Work with reserved processors is packed, tasks that serve gather by
-    /// image, and tasks that fill go where they use idle processors and disturb least.
-    fn cost(&self, worker: &Worker, step: &StepSpec) -> Option<u64> {
-        let free = worker.free().cpu.0;
-        let away = match (&step.rack, worker.rack()) {
-            (Some(rack), Some(own)) if rack != own => AWAY_COST,
-            _ => 0,
-        };
-        if step.fills {
-            let idle = worker.idle();
-            if idle < step.need.cpu.0 {
-                return None;
-            }
-            if worker.serving == 0 {
-                return Some(away + BUSY_COST.saturating_sub(idle));
-            }
-            let headroom = self.headroom(worker, step);
-            if headroom < 0.0 || worker.over_since.is_some() {
-                return None;
-            }
-            let noise =
-                HEADROOM_COST - (headroom * 10_000.0).clamp(0.0, HEADROOM_COST as f64) as u64;
-            return Some(away + BUSY_COST.saturating_sub(idle) / 2 + noise);
-        }
-        let left = free.saturating_sub(step.need.cpu.0);
-        if step.serves() {
-            let others = worker
-                .runs
-                .values()
-                .filter(|run| run.target.is_some() && run.image != step.image)
-                .count() as u64;
-            let same = worker
-                .runs
-                .values()
-                .any(|run| run.target.is_some() && run.image == step.image);
-            return Some(
-                away + others * OTHER_IMAGE_COST
-                    + left
-                    + u64::from(!same) * NEW_IMAGE_COST
-                    + worker.filling.0,
-            );
-        }
-        Some(away + left + worker.filling.0 / 2)
+    /// Tells whether one more task keeps the bound on tasks of a step on one worker.
+    fn is_within(&self, worker: &Worker) -> bool {
+        self.step
+            .max_per_worker
+            .is_none_or(|most| self.chosen.get(&worker.id).copied().unwrap_or(0) < most)
+    }
+
+    /// Tells whether nothing but its size keeps the task from a worker.
+    fn is_general(&self) -> bool {
+        self.step.requires.is_none() && self.step.max_per_worker.is_none() && !self.last_chance
     }
 }
 
-/// Tells whether one more task of `step` keeps the bound on tasks of a step on one worker.
-fn is_within(step: &StepSpec, worker: &Worker, chosen: &HashMap<WorkerId, u32>) -> bool {
-    step.max_per_worker
-        .is_none_or(|most| chosen.get(&worker.id).copied().unwrap_or(0) < most)
+/// Lower is better. Work with reserved processors is packed, tasks that serve gather by image, and
+/// tasks that fill go where they use idle processors and disturb least.
+fn cost(worker: &Worker, ask: &Ask) -> Option<u64> {
+    let step = ask.step;
+    let away = match (&step.rack, worker.rack()) {
+        (Some(rack), Some(own)) if rack != own => AWAY_COST,
+        _ => 0,
+    };
+    if step.fills {
+        let idle = worker.idle();
+        if idle < step.need.cpu.0 || worker.over_since.is_some() {
+            return None;
+        }
+        if worker.serving == 0 {
+            return Some(away + BUSY_COST.saturating_sub(idle));
+        }
+        let headroom = Scheduler::headroom(worker, step, ask.noise);
+        if headroom < 0.0 {
+            return None;
+        }
+        let noise = HEADROOM_COST - (headroom * 10_000.0).clamp(0.0, HEADROOM_COST as f64) as u64;
+        return Some(away + BUSY_COST.saturating_sub(idle) / 2 + noise);
+    }
+    let left = worker.free().cpu.0.saturating_sub(step.need.cpu.0);
+    if step.serves() {
+        let serving = || worker.runs.values().filter(|run| run.target.is_some());
+        let others = serving().filter(|run| run.image != step.image).count() as u64;
+        let same = serving().any(|run| run.image == step.image);
+        return Some(
+            away + others * OTHER_IMAGE_COST
+                + left
+                + u64::from(!same) * NEW_IMAGE_COST
+                + worker.filling.0,
+        );
+    }
+    Some(away + left + worker.filling.0 / 2)
 }
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -1,90 +1,120 @@
 //! Makes room for urgent tasks by ending less urgent runs.
 
-use super::worker::RunState;
-use super::{Scheduler, StepSpec, TaskKey, Worker};
+use super::plan::Ask;
+use super::round::Round;
+use super::worker::{Run, RunState};
+use super::{Scheduler, TaskKey, Worker};
 use crate::prelude::*;
 
+/// Searches for a worker to vacate in one round: each looks at the runs of all workers, and a
+/// round has to stay short on a small machine.
+const MAX_SEARCHES: usize = 8;
+
 impl Scheduler {
-    /// Stops less urgent runs on one worker so that a task of `step` fits there; does nothing
-    /// if room is already being made.
+    /// Stops less urgent runs on one worker so that a task fits there, or takes room that is being
+    /// made; returns whether the task may expect room.
     pub(super) fn preempt(
         &mut self,
-        step: &StepSpec,
+        ask: &Ask,
         priority: u32,
-        service: &str,
-        allowed: impl Fn(&Worker) -> bool,
+        round: &mut Round,
         now: Millis,
-    ) {
-        let room = step.room();
+    ) -> bool {
+        let room = ask.step.room();
+        if round.is_fixed(priority, &room) || round.searches >= MAX_SEARCHES {
+            return false;
+        }
+        round.searches += 1;
         let mut best: Option<(u64, WorkerId, Vec<TaskKey>)> = None;
         for worker in self.workers.values() {
-            if !self.may_take(worker, step, service, now) || !allowed(worker) {
+            if !ask.allows(worker, now) {
                 continue;
             }
-            let coming = worker
-                .runs
-                .values()
-                .filter(|run| run.state == RunState::Stopping)
-                .fold(worker.free(), |sum, run| {
-                    sum.checked_add(&run.room).unwrap_or(sum)
-                });
-            if room.fits(&coming) {
-                return;
+            let claimed = round.claims.get(&worker.id).copied().unwrap_or_default();
+            let coming = worker.coming();
+            if room.fits(&coming.saturating_sub(&claimed)) {
+                let claimed = claimed.checked_add(&room).unwrap_or(claimed);
+                round.claims.insert(worker.id.clone(), claimed);
+                return true;
+            }
+            // Room that is claimed counts as taken; a worker is vacated for one task at a time.
+            if claimed != Resources::default() {
+                continue;
             }
-            let Some((cost, victims)) = self.victims(worker, &room, coming, priority, now) else {
+            let Some((cost, victims)) = victims(worker, &room, coming, priority, now) else {
                 continue;
             };
             if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
                 best = Some((cost, worker.id.clone(), victims));
             }
         }
-        if let Some((_, id, victims)) = best {
-            for key in victims {
-                tracing::info!(task = %key, worker = %id, "run makes room for a more urgent task");
-                self.stop(&id, &key, now);
-            }
+        let Some((_, id, victims)) = best else {
+            round.fix(priority, room);
+            return false;
+        };
+        for key in victims {
+            tracing::info!(task = %key, worker = %id, "run makes room for a more urgent task");
+            self.stop(&id, &key, now);
         }
+        round.claims.insert(id, room);
+        true
     }
+}
 
-    /// Picks the runs of a worker whose end frees enough room and wastes least work.
-    fn victims(
-        &self,
-        worker: &Worker,
-        room: &Resources,
-        mut free: Resources,
-        priority: u32,
-        now: Millis,
-    ) -> Option<(u64, Vec<TaskKey>)> {
-        let mut runs: Vec<(u64, &TaskKey, Resources)> = worker
+impl Worker {
+    /// Room that is free once everything that is being stopped has ended.
+    fn coming(&self) -> Resources {
+        let stopping = self
             .runs
-            .iter()
-            .filter(|(_, run)| run.state == RunState::Placed && !run.lasting)
-            .filter_map(|(key, run)| {
-                let job = self.jobs.get(&key.job)?;
-                let queue = self.queues.queues.get(&job.spec.queue)?;
-                if queue.priority <= priority {
-                    return None;
-                }
-                let saved = job.step(job.unit_of(key)?).checkpoints;
-                let worked = if saved {
-                    1
-                } else {
-                    now.since(run.started).0 + 1
-                };
-                Some((worked * run.cpu.0, key, run.room))
-            })
-            .collect();
-        runs.sort_by_key(|(waste, key, _)| (*waste, *key));
-        let mut victims = Vec::new();
-        let mut cost = 0;
-        for (waste, key, freed) in runs {
-            if room.fits(&free) {
-                break;
-            }
-            free = free.checked_add(&freed).unwrap_or(free);
-            cost += waste;
-            victims.push(key.clone());
+            .values()
+            .filter(|run| run.state == RunState::Stopping);
+        stopping.fold(self.free(), |sum, run| {
+            sum.checked_add(&run.room).unwrap_or(sum)
+        })
+    }
+}
+
+/// Picks the runs of a worker whose end frees enough room and wastes least work.
+fn victims(
+    worker: &Worker,
+    room: &Resources,
+    mut free: Resources,
+    priority: u32,
+    now: Millis,
+) -> Option<(u64, Vec<TaskKey>)> {
+    let may_end =
+        |run: &Run| run.state == RunState::Placed && !run.lasting && run.priority > priority;
+    let most = worker
+        .runs
+        .values()
+        .filter(|run| may_end(run))
+        .fold(free, |sum, run| sum.checked_add(&run.room).unwrap_or(sum));
+    if !room.fits(&most) {
+        return None;
+    }
+    let mut runs: Vec<(u64, &TaskKey, Resources)> = worker
+        .runs
+        .iter()
+        .filter(|(_, run)| may_end(run))
+        .map(|(key, run)| {
+            let worked = if run.saved {
+                1
+            } else {
+                now.since(run.started).0 + 1
+            };
+            (worked * run.cpu.0, key, run.room)
+        })
+        .collect();
+    runs.sort_by_key(|(waste, key, _)| (*waste, *key));
+    let mut victims = Vec::new();
+    let mut cost = 0;
+    for (waste, key, freed) in runs {
+        if room.fits(&free) {
+            break;
         }
-        room.fits(&free).then_some((cost, victims))
+        free = free.checked_add(&freed).unwrap_or(free);
+        cost += waste;
+        victims.push(key.clone());
     }
+    room.fits(&free).then_some((cost, victims))
 }
--- a/src/scheduler/sharing.rs
+++ b/src/scheduler/sharing.rs
@@ -1,6 +1,6 @@
 //! Keeps tasks that fill from harming tasks that serve on the same worker.
 
-use super::interference::Usage;
+use super::interference::{Noise, Usage};
 use super::worker::{Run, RunState};
 use super::{Order, Scheduler, StepSpec, StopOrder, TaskKey, Worker};
 use crate::prelude::*;
@@ -86,33 +86,48 @@
 impl Scheduler {
     /// Brings the headrooms of all serving runs up to date.
     pub(super) fn refresh_margins(&mut self) {
-        for worker in self.workers.values_mut() {
-            if worker.margins.is_some() {
-                continue;
-            }
+        let stale: Vec<WorkerId> = self
+            .workers
+            .values()
+            .filter(|worker| worker.margins.is_none())
+            .map(|worker| worker.id.clone())
+            .collect();
+        for id in stale {
+            self.refresh_margin(&id);
+        }
+    }
+
+    /// Brings the headrooms of one worker's serving runs up to date.
+    pub(super) fn refresh_margin(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let mut margins: Vec<(Option<usize>, f64)> = Vec::new();
+        if worker.serving > 0 {
             let uses = worker.uses(true);
-            let mut margins: Vec<(String, f64)> = Vec::new();
             for run in worker.runs.values() {
                 let Some(target) = run.target else { continue };
                 let tail = self.interference.predict(&run.image, &uses) + run.residual;
                 let margin = (target.0.max(1) as f64).ln() - SWING_HEADROOM - tail;
-                margins.push((run.image.clone(), margin));
+                let place = self.interference.place(&run.image);
+                match margins.iter_mut().find(|(known, _)| *known == place) {
+                    Some((_, least)) => *least = least.min(margin),
+                    None => margins.push((place, margin)),
+                }
             }
-            worker.margins = Some(margins);
         }
+        worker.margins = Some(margins);
     }
 
-    /// Predicts how far the worst tail stays below its target beside one more task of `step`
-    /// that fills; a logarithm, negative if a target would be missed.
-    pub(super) fn headroom(&self, worker: &Worker, step: &StepSpec) -> f64 {
+    /// Predicts how far the worst tail stays below its target beside one more task that fills, a
+    /// logarithm that is negative if a target would be missed; `noise` is of the task's image.
+    pub(super) fn headroom(worker: &Worker, step: &StepSpec, noise: &Noise) -> f64 {
         let share = step.need.cpu.0 as f64 / worker.capacity();
         worker
             .margins
             .iter()
             .flatten()
-            .map(|(image, margin)| {
-                margin - self.interference.coefficient(image, &step.image) * share
-            })
+            .map(|(place, margin)| margin - noise.of(*place) * share)
             .fold(f64::INFINITY, f64::min)
     }
 
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -108,6 +108,8 @@
         {
             tracing::error!(job = %id, "record does not match the job; its tasks start anew");
         }
+        let queue = self.queues.queues.get(&job.spec.queue);
+        let priority = queue.map_or(0, |queue| queue.priority);
         for unit in 0..job.units.len() {
             for index in 0..job.units[unit].tasks.len() {
                 let task = &job.units[unit].tasks[index];
@@ -115,7 +117,7 @@
                     continue;
                 };
                 let key = job.key(unit, index);
-                let mut entry = new_run(&job, unit, run, now);
+                let mut entry = new_run(&job, unit, run, priority, now);
                 entry.state = RunState::Placed;
                 entry.settled = Some(Millis::ZERO);
                 let worker = self.worker(&place.worker, place.born);
@@ -286,11 +288,13 @@
     }
 }
 
-pub(super) fn new_run(job: &Job, unit: usize, number: u32, now: Millis) -> Run {
+pub(super) fn new_run(job: &Job, unit: usize, number: u32, priority: u32, now: Millis) -> Run {
     let step = job.step(unit);
     Run {
         fills: step.fills,
         lasting: step.lasting,
+        priority,
+        saved: step.checkpoints,
         image: step.image.clone(),
         target: step.tail_target,
         ..Run::new(number, step.room(), step.need.cpu, now)
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -47,6 +47,10 @@
     pub cpu: Millicores,
     pub fills: bool,
     pub lasting: bool,
+    /// Urgency of its queue when it was assigned; 0 comes first.
+    pub priority: u32,
+    /// It resumes from a checkpoint.
+    pub saved: bool,
     pub image: String,
     pub target: Option<Millis>,
     /// A list that was asked for after this time is complete for this run.
@@ -73,6 +77,8 @@
             cpu,
             fills: false,
             lasting: false,
+            priority: 0,
+            saved: false,
             image: String::new(),
             target: None,
             settled: None,
@@ -105,8 +111,9 @@
     pub(super) over_since: Option<Millis>,
     /// Processors in use: reserved ones, and on average by tasks that serve.
     pub(super) busy: u64,
-    /// Headroom of each serving run beside the present tasks; `None` if not up to date.
-    pub(super) margins: Option<Vec<(String, f64)>>,
+    /// Least headroom of each serving image, by its place in the model, beside the present tasks;
+    /// `None` if not up to date.
+    pub(super) margins: Option<Vec<(Option<usize>, f64)>>,
     pub(super) runs: BTreeMap<TaskKey, Run>,
     /// Own time and the worker's clock at its last answer.
     pub(super) clock: Option<(Millis, Millis)>,
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -16,7 +16,7 @@
 use serde_json::Value;
 
 /// Every level that has a help text.
-const LEVELS: [&str; 42] = [
+const LEVELS: [&str; 43] = [
     "",
     "entry",
     "check",
@@ -59,6 +59,7 @@
     "bench placement",
     "bench control",
     "bench path",
+    "bench leader",
 ];
 
 /// A folder for keys and files that goes away with the test.
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -365,3 +365,62 @@
     assert_eq!(outdated, [id("a")]);
     assert_eq!(sched.view(&id("a")), None);
 }
+
+/// Guards against urgent tasks that wait for one another while only one worker at a time is
+/// vacated for them.
+#[test]
+fn each_urgent_task_has_a_worker_vacated() {
+    let mut sched = leader(Millis(0));
+    for at in 1..=3 {
+        join(&mut sched, entry(at, 1, 8000, 8000), Millis(0));
+    }
+    submit(
+        &mut sched,
+        "plan",
+        job("patient", vec![step(3, 8000, 1000)]),
+        Millis(0),
+    );
+    for start in starts(&settle(&mut sched, 1, Millis(0))) {
+        answer(&mut sched, &start, StartAnswer::Started, Millis(5));
+    }
+
+    submit(
+        &mut sched,
+        "check",
+        job("urgent", vec![step(3, 8000, 1000)]),
+        Millis(10),
+    );
+    let first = stops(&settle(&mut sched, 2, Millis(10)));
+    sched.tick(Millis(20));
+    let again = stops(&settle(&mut sched, 3, Millis(20)));
+
+    assert_eq!(first.len(), 3);
+    assert!(
+        again.is_empty(),
+        "room that is being made is not made twice"
+    );
+}
+
+/// Guards against a round that gives up on small tasks because a larger one found no worker.
+#[test]
+fn a_task_that_fits_starts_behind_larger_ones_that_wait() {
+    let mut sched = leader(Millis(0));
+    join(&mut sched, entry(1, 1, 8000, 8000), Millis(0));
+    for (name, cpu) in [("a", 7000), ("b", 7000), ("c", 6000), ("d", 1000)] {
+        submit(
+            &mut sched,
+            name,
+            job("urgent", vec![step(1, cpu, 1000)]),
+            Millis(0),
+        );
+    }
+
+    let sent = starts(&settle(&mut sched, 1, Millis(0)));
+
+    let jobs: Vec<String> = sent
+        .iter()
+        .map(|start| start.task.job.to_string())
+        .collect();
+    assert!(jobs.contains(&"d".to_string()), "{jobs:?}");
+    assert_eq!(sent.len(), 2);
+}
