Model disturbance as a loss of slack, and pace noisy runs by the slack to spare

Change: slack = target / tail; coefficients are learned from changes between two readings of one run; each serving run has a base slack with a trend; a filling task is placed where slack is left ahead, and its pace is what the spare slack allows, in steps of 10%. Serving images that the same images disturb count as alike when they gather.

--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -77,6 +77,8 @@
     /// Revision of the record in the store; 0 if there is none.
     pub(super) revision: u64,
     pub(super) writing: bool,
+    /// Since when a task could run while none of the job is on a worker.
+    pub(super) idle_since: Option<Millis>,
 }
 
 impl Job {
@@ -115,9 +117,22 @@
             durable_phase: Phase::Active,
             revision: 0,
             writing: false,
+            idle_since: None,
         }
     }
 
+    /// Notes whether a task can be assigned, and since when the job waits with nothing running;
+    /// returns the former.
+    pub(super) fn note_wait(&mut self, now: Millis) -> bool {
+        let waits = self.has_open_tasks(now);
+        let runs = || {
+            let mut tasks = self.units.iter().flat_map(|unit| &unit.tasks);
+            tasks.any(|task| task.place.is_some())
+        };
+        self.idle_since = (waits && !runs()).then(|| self.idle_since.unwrap_or(now));
+        waits
+    }
+
     /// Takes over what the store keeps; a record of another shape is refused.
     pub(super) fn restore(&mut self, record: &JobRecord, revision: u64) -> bool {
         self.revision = revision;
@@ -199,7 +214,7 @@
     }
 
     /// Tells whether a task can be assigned.
-    pub(super) fn has_open_tasks(&self, now: Millis) -> bool {
+    fn has_open_tasks(&self, now: Millis) -> bool {
         let units = self.units.iter().enumerate();
         units
             .filter(|(_, unit)| unit.has_open_tasks())
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -17,6 +17,7 @@
 mod report;
 mod round;
 mod sharing;
+mod slack;
 mod spec;
 mod state;
 mod tick;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use super::interference::Noise;
+use super::interference::{Interference, Noise};
 use super::round::Round;
 use super::state::new_run;
 use super::worker::RunState;
@@ -16,6 +16,14 @@
 /// round over a long queue would keep a small machine from its lease.
 const MAX_MISSES: usize = 30;
 
+/// Time for which a job may wait with nothing running while there is room; after 3 s it counts as
+/// lost.
+const LONGEST_IDLE: Millis = Millis(1500);
+
+/// Share of the processors, in thousandths, below which there is room for every job; jobs count as
+/// lost only below half of it.
+const SPARE_PERMILLE: u64 = 700;
+
 /// A job whose objective has passed this many times over earns nothing more.
 const WORTHLESS_FACTOR: u64 = 3;
 
@@ -26,12 +34,12 @@
 /// Cost of a worker without idle processors, in millicores; more than any worker has.
 const BUSY_COST: u64 = 200_000;
 
-/// Cost of using up the headroom of serving tasks, per e-fold of their tail.
-const HEADROOM_COST: u64 = 30_000;
+/// Cost of the slack that a serving task loses; one unit is the span from its target to half of it.
+const LOSS_COST: f64 = 40_000.0;
 
-/// Cost of a serving task of another image on the same worker: together they bear fewer tasks
-/// that fill.
-const OTHER_IMAGE_COST: u64 = 40_000;
+/// Cost of a serving task on the same worker that other images disturb: together they bear fewer
+/// tasks that fill.
+const OTHER_IMAGE_COST: f64 = 40_000.0;
 
 /// Cost of a worker without a serving task of the same image.
 const NEW_IMAGE_COST: u64 = 20_000;
@@ -53,16 +61,11 @@
         }
         self.replan = false;
         self.refresh_margins();
-        let mut ranked: Vec<(Rank, &JobId)> = self
-            .active
-            .iter()
-            .filter_map(|id| self.jobs.get(id))
-            .filter(|job| job.has_open_tasks(now))
-            .filter_map(|job| Some((self.rank(job, now)?, &job.id)))
-            .collect();
-        ranked.sort_unstable();
-        let ranked: Vec<JobId> = ranked.into_iter().map(|(_, id)| id.clone()).collect();
         let mut round = Round::default();
+        if self.has_room_to_spare() {
+            round.overdue_before = now.0.checked_sub(LONGEST_IDLE.0).map(Millis);
+        }
+        let ranked = self.ranked(&round, now);
         let mut assigned = 0;
         for id in ranked {
             if assigned >= MAX_ASSIGNED {
@@ -77,8 +80,37 @@
         assigned
     }
 
-    fn rank(&self, job: &Job, now: Millis) -> Option<Rank> {
+    /// Jobs with a task to assign, the most urgent first.
+    fn ranked(&mut self, round: &Round, now: Millis) -> Vec<JobId> {
+        let mut waiting = Vec::new();
+        for id in &self.active {
+            if self.jobs.get_mut(id).is_some_and(|job| job.note_wait(now)) {
+                waiting.push(id);
+            }
+        }
+        let mut ranked: Vec<(Rank, &JobId)> = waiting
+            .into_iter()
+            .filter_map(|id| Some((self.rank(self.jobs.get(id)?, round, now)?, id)))
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, id)| id.clone()).collect()
+    }
+
+    /// Tells whether much of the fleet is not reserved, so that no job has reason to wait.
+    fn has_room_to_spare(&self) -> bool {
+        let open = self.workers.values().filter(|worker| worker.is_open());
+        let (used, capacity) = open.fold((0, 0), |(used, capacity), worker| {
+            let whole = worker.used.cpu.0 + worker.free().cpu.0;
+            (used + worker.used.cpu.0, capacity + whole)
+        });
+        used * 1000 < capacity * SPARE_PERMILLE
+    }
+
+    fn rank(&self, job: &Job, round: &Round, now: Millis) -> Option<Rank> {
         let queue = self.queues.queues.get(&job.spec.queue)?;
+        if round.is_overdue(job) {
+            return Some((0, 0, 0, job.objective_at));
+        }
         // A task that lasts may not wait while it fits somewhere, however long the queue is.
         if job.spec.steps.iter().any(|step| step.lasting) {
             return Some((queue.priority, 0, 0, job.objective_at));
@@ -157,8 +189,9 @@
                 noise: &noise,
                 chosen: &chosen,
                 last_chance: failures > 0 && failures + 1 >= queue.max_attempts,
+                overdue: round.is_overdue(job),
             };
-            let found = if round.is_hopeless(step, &queue.service) {
+            let found = if round.is_hopeless(step, &queue.service) && !ask.overdue {
                 None
             } else {
                 let found = self.choose(&ask, now);
@@ -221,7 +254,7 @@
             if suspect && ask.last_chance {
                 continue;
             }
-            let Some(cost) = cost(worker, ask) else {
+            let Some(cost) = cost(worker, ask, &self.interference) else {
                 continue;
             };
             let cost = cost + u64::from(suspect) * SUSPECT_COST;
@@ -243,6 +276,8 @@
     pub chosen: &'a HashMap<WorkerId, u32>,
     /// One more failure fails the job.
     pub last_chance: bool,
+    /// The job has waited for too long while there is room: disturbance is left to the pace.
+    pub overdue: bool,
 }
 
 impl Ask<'_> {
@@ -277,7 +312,7 @@
 
 /// Lower is better. Work with reserved processors is packed, tasks that serve gather by image, and
 /// tasks that fill go where they use idle processors and disturb least.
-fn cost(worker: &Worker, ask: &Ask) -> Option<u64> {
+fn cost(worker: &Worker, ask: &Ask, model: &Interference) -> Option<u64> {
     let step = ask.step;
     let away = match (&step.rack, worker.rack()) {
         (Some(rack), Some(own)) if rack != own => AWAY_COST,
@@ -285,26 +320,28 @@
     };
     if step.fills {
         let idle = worker.idle();
-        if idle < step.need.cpu.0 || worker.over_since.is_some() {
+        if idle < step.need.cpu.0 || (worker.over_since.is_some() && !ask.overdue) {
             return None;
         }
         if worker.serving == 0 {
             return Some(away + BUSY_COST.saturating_sub(idle));
         }
-        let headroom = Scheduler::headroom(worker, step, ask.noise);
-        if headroom < 0.0 {
+        let (spare, loss) = Scheduler::headroom(worker, step, ask.noise);
+        if spare < 0.0 && !ask.overdue {
             return None;
         }
-        let noise = HEADROOM_COST - (headroom * 10_000.0).clamp(0.0, HEADROOM_COST as f64) as u64;
+        let noise = (loss * LOSS_COST) as u64;
         return Some(away + BUSY_COST.saturating_sub(idle) / 2 + noise);
     }
     let left = worker.free().cpu.0.saturating_sub(step.need.cpu.0);
     if step.serves() {
         let serving = || worker.runs.values().filter(|run| run.target.is_some());
-        let others = serving().filter(|run| run.image != step.image).count() as u64;
+        let others: f64 = serving()
+            .map(|run| model.difference(&run.image, &step.image))
+            .sum();
         let same = serving().any(|run| run.image == step.image);
         return Some(
-            away + others * OTHER_IMAGE_COST
+            away + (others * OTHER_IMAGE_COST) as u64
                 + left
                 + u64::from(!same) * NEW_IMAGE_COST
                 + worker.filling.0,
--- a/src/scheduler/round.rs
+++ b/src/scheduler/round.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use super::StepSpec;
+use super::{Job, StepSpec};
 use crate::prelude::*;
 
 /// A step that found no worker; a step that asks for as much or more finds none either.
@@ -25,9 +25,20 @@
     pub searches: usize,
     /// Searches for a worker without a result.
     pub failed: usize,
+    /// Jobs that have waited since before this time with nothing running go first, if there is
+    /// room to spare.
+    pub overdue_before: Option<Millis>,
 }
 
 impl Round {
+    /// Tells whether a job has waited for too long with nothing running.
+    pub fn is_overdue(&self, job: &Job) -> bool {
+        match (self.overdue_before, job.idle_since) {
+            (Some(before), Some(since)) => since < before,
+            _ => false,
+        }
+    }
+
     /// Tells whether a search for a worker for this step would be in vain.
     pub fn is_hopeless(&self, step: &StepSpec, service: &str) -> bool {
         self.misses.iter().any(|miss| {
--- a/src/scheduler/sharing.rs
+++ b/src/scheduler/sharing.rs
@@ -1,26 +1,26 @@
 //! Keeps tasks that fill from harming tasks that serve on the same worker.
 
-use super::interference::{Noise, Usage};
+use super::interference::{Noise, Uses};
 use super::worker::{Run, RunState};
 use super::{Order, Scheduler, StepSpec, StopOrder, TaskKey, Worker};
 use crate::prelude::*;
 
-/// Shortest time between two changes of pace; the effect shows in figures of half a second.
-const PACE_GAP: Millis = Millis(550);
+/// Shortest time between two changes that speed a run up; figures are of half a second.
+const FASTER_GAP: Millis = Millis(550);
 
-/// Share of a target, in thousandths, above which tasks that fill are slowed down.
-const SLOW_PERMILLE: u64 = 900;
+/// Shortest time between two changes that slow a run down.
+const SLOWER_GAP: Millis = Millis(250);
 
-/// Share of a target, in thousandths, below which they are sped up again.
-const SPEED_PERMILLE: u64 = 600;
+/// Step of the pace, in percent; smaller changes are not worth a call.
+const PACE_STEP: u32 = 10;
 
-/// Coefficient above which a pair counts as noisy.
+/// Coefficient above which a pair counts as noisy; calm pairs have about 0.3.
 const NOISY_COEFFICIENT: f64 = 1.2;
 
-/// Steps of the pace, in percent.
-const PACES: [u32; 3] = [100, 30, 0];
+/// Pace, in percent, at which a run is better off elsewhere.
+const MOVE_PACE: u32 = 20;
 
-/// Time at pace 0 after which a run is moved to another worker.
+/// Time at such a pace after which a run that saves checkpoints is moved.
 const MOVE_AFTER: Millis = Millis(900);
 
 /// Part of the time after which a harm counts, in thousandths, after which all tasks that fill are
@@ -30,15 +30,17 @@
 /// Part of that time after which they are ended.
 const END_PERMILLE: u64 = 500;
 
-/// Weight of a new sample in a serving run's residual; its load swings within about 14 s.
-const RESIDUAL_GAIN: f64 = 0.4;
+/// Slack that a placement leaves to spare: a tail is read with an error of about 8%.
+const PLACE_RESERVE: f64 = 0.3;
 
-/// Bounds of a residual: a low load rises again, and a high one is bounded by its swing.
-const LEAST_RESIDUAL: f64 = -0.2;
-const MOST_RESIDUAL: f64 = 0.8;
+/// Time for which a placement looks ahead, in seconds; a task that fills runs about as long.
+const PLACE_AHEAD_S: f64 = 1.5;
 
-/// Headroom, as a logarithm, that a placement leaves for the swing of a serving task's load.
-const SWING_HEADROOM: f64 = 0.35;
+/// Slack that a pace leaves to spare.
+const PACE_RESERVE: f64 = 0.15;
+
+/// Time for which a pace looks ahead, in seconds: until the next one can take effect.
+const PACE_AHEAD_S: f64 = 0.7;
 
 /// Share of its reserved processors, in thousandths, that a serving task uses on average.
 const SERVING_USE_PERMILLE: u64 = 450;
@@ -54,6 +56,11 @@
             self.room.cpu.0
         }
     }
+
+    /// Tells whether its tail can be read.
+    fn is_serving(&self) -> bool {
+        self.state == RunState::Placed && self.percent >= 100 && self.gauge > 0
+    }
 }
 
 impl Worker {
@@ -63,19 +70,6 @@
         capacity.saturating_sub(self.busy)
     }
 
-    /// Shares of its processors that tasks which fill use now, or would at full pace.
-    fn uses(&self, full: bool) -> Vec<Usage> {
-        let capacity = self.capacity();
-        self.runs
-            .values()
-            .filter(|run| run.fills)
-            .map(|run| {
-                let used = if full { run.cpu.0 } else { run.gauge };
-                (run.image.clone(), used as f64 / capacity)
-            })
-            .collect()
-    }
-
     fn capacity(&self) -> f64 {
         self.entry
             .as_ref()
@@ -84,7 +78,26 @@
 }
 
 impl Scheduler {
-    /// Brings the headrooms of all serving runs up to date.
+    /// Shares of a worker's processors that tasks which fill use now, or would at full pace.
+    fn uses(&mut self, id: &WorkerId, full: bool) -> Uses {
+        let Some(worker) = self.workers.get(id) else {
+            return Uses::new();
+        };
+        let capacity = worker.capacity();
+        let mut uses = Uses::new();
+        for run in worker.runs.values().filter(|run| run.fills) {
+            let used = if full { run.cpu.0 } else { run.gauge };
+            let place = self.interference.filling_place(&run.image);
+            let share = used as f64 / capacity;
+            match uses.iter_mut().find(|(at, _)| *at == place) {
+                Some((_, sum)) => *sum += share,
+                None => uses.push((place, share)),
+            }
+        }
+        uses
+    }
+
+    /// Brings the slack to spare on all workers up to date.
     pub(super) fn refresh_margins(&mut self) {
         let stale: Vec<WorkerId> = self
             .workers
@@ -97,38 +110,37 @@
         }
     }
 
-    /// Brings the headrooms of one worker's serving runs up to date.
+    /// Brings the slack to spare on one worker up to date.
     pub(super) fn refresh_margin(&mut self, id: &WorkerId) {
+        let uses = self.uses(id, true);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         let mut margins: Vec<(Option<usize>, f64)> = Vec::new();
-        if worker.serving > 0 {
-            let uses = worker.uses(true);
-            for run in worker.runs.values() {
-                let Some(target) = run.target else { continue };
-                let tail = self.interference.predict(&run.image, &uses) + run.residual;
-                let margin = (target.0.max(1) as f64).ln() - SWING_HEADROOM - tail;
-                let place = self.interference.place(&run.image);
-                match margins.iter_mut().find(|(known, _)| *known == place) {
-                    Some((_, least)) => *least = least.min(margin),
-                    None => margins.push((place, margin)),
-                }
+        for run in worker.runs.values().filter(|run| run.target.is_some()) {
+            let place = self.interference.place(&run.image);
+            let base = run
+                .slack
+                .ahead(PLACE_AHEAD_S)
+                .unwrap_or_else(|| self.interference.mean_slack(place));
+            let margin = base - 1.0 - PLACE_RESERVE - self.interference.loss(place, &uses);
+            match margins.iter_mut().find(|(known, _)| *known == place) {
+                Some((_, least)) => *least = least.min(margin),
+                None => margins.push((place, margin)),
             }
         }
         worker.margins = Some(margins);
     }
 
-    /// Predicts how far the worst tail stays below its target beside one more task that fills, a
-    /// logarithm that is negative if a target would be missed; `noise` is of the task's image.
-    pub(super) fn headroom(worker: &Worker, step: &StepSpec, noise: &Noise) -> f64 {
+    /// Slack that is to spare beside one more task that fills, and the most that it costs a serving
+    /// task; the former is negative if a target would be missed.
+    pub(super) fn headroom(worker: &Worker, step: &StepSpec, noise: &Noise) -> (f64, f64) {
         let share = step.need.cpu.0 as f64 / worker.capacity();
-        worker
-            .margins
-            .iter()
-            .flatten()
-            .map(|(place, margin)| margin - noise.of(*place) * share)
-            .fold(f64::INFINITY, f64::min)
+        let margins = worker.margins.iter().flatten();
+        margins.fold((f64::INFINITY, 0.0), |(least, most), (place, margin)| {
+            let loss = noise.of(*place) * share;
+            (least.min(margin - loss), loss.max(most))
+        })
     }
 
     /// Learns from the tails on a worker and sets the pace of the tasks that fill beside them.
@@ -139,99 +151,125 @@
         if worker.serving == 0 && worker.filling.0 == 0 {
             return;
         }
-        let uses = worker.uses(false);
-        let mut worst: Option<(u64, String)> = None;
-        let mut residuals = Vec::new();
-        for (key, run) in &worker.runs {
-            let (Some(target), RunState::Placed) = (run.target, run.state) else {
-                continue;
-            };
-            if run.percent < 100 {
-                continue;
-            }
-            if run.gauge > 0 {
-                let expected = self.interference.predict(&run.image, &uses);
-                let above = (run.gauge as f64).ln() - expected;
-                residuals.push((key.clone(), above));
-            }
-            self.interference.learn(&run.image, run.gauge, &uses);
-            let share = run.gauge * 1000 / target.0.max(1);
-            if worst.as_ref().is_none_or(|(most, _)| share > *most) {
-                worst = Some((share, run.image.clone()));
-            }
-        }
-        let over = worst.as_ref().is_some_and(|(share, _)| *share > 1000);
-        let mut since = Millis::ZERO;
-        if let Some(worker) = self.workers.get_mut(id) {
-            for (key, above) in residuals {
-                if let Some(run) = worker.runs.get_mut(&key) {
-                    let mixed = run.residual + RESIDUAL_GAIN * (above - run.residual);
-                    run.residual = mixed.clamp(LEAST_RESIDUAL, MOST_RESIDUAL);
-                }
-            }
-            worker.margins = None;
-            worker.over_since = over.then(|| worker.over_since.unwrap_or(now));
-            since = worker.over_since.map_or(Millis::ZERO, |at| now.since(at));
-        }
+        self.read_tails(id, now);
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let slower = worst
-            .as_ref()
-            .is_some_and(|(share, _)| *share > SLOW_PERMILLE);
-        let faster = worst
-            .as_ref()
-            .is_none_or(|(share, _)| *share < SPEED_PERMILLE);
-        let serving = worst.map(|(_, image)| image).unwrap_or_default();
-        let fillers: Vec<(TaskKey, f64)> = worker
+        let since = worker.over_since.map_or(Millis::ZERO, |at| now.since(at));
+        let harm = self.timing.harm;
+        let fillers: Vec<TaskKey> = worker
             .runs
             .iter()
             .filter(|(_, run)| run.fills && run.state == RunState::Placed)
-            .map(|(key, run)| {
-                let noise = self.interference.coefficient(&serving, &run.image);
-                (key.clone(), noise)
-            })
+            .map(|(key, _)| key.clone())
             .collect();
-        let any_noisy = fillers.iter().any(|(_, noise)| *noise > NOISY_COEFFICIENT);
-        for (key, noise) in fillers {
-            if since > self.timing.harm.scale_permille(END_PERMILLE) {
-                tracing::info!(task = %key, worker = %id, serving, "run ends beside a serving task over its target");
+        if fillers.is_empty() {
+            return;
+        }
+        let limits = self.pace_limits(id);
+        for key in fillers {
+            if since > harm.scale_permille(END_PERMILLE) {
+                tracing::info!(task = %key, worker = %id, over_ms = since.0, "run ends beside a serving task over its target");
                 self.stop(id, &key, now);
+            } else if since > harm.scale_permille(HALT_PERMILLE) {
+                self.send_pace(id, &key, 0, now);
+            } else {
+                self.set_pace(id, &key, &limits, now);
+            }
+        }
+    }
+
+    /// Learns from the tails on a worker, and notes since when one is over its target.
+    fn read_tails(&mut self, id: &WorkerId, now: Millis) {
+        let uses = Arc::new(self.uses(id, false));
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let mut over = false;
+        for run in worker.runs.values_mut() {
+            let (Some(target), true) = (run.target, run.is_serving()) else {
+                continue;
+            };
+            let slack = target.0 as f64 / run.gauge as f64;
+            over |= slack < 1.0;
+            if !run.slack.is_due(now) {
                 continue;
             }
-            if since > self.timing.harm.scale_permille(HALT_PERMILLE) {
-                self.send_pace(id, &key, 0, now);
+            let place = self.interference.place(&run.image);
+            let loss = self.interference.loss(place, &uses);
+            self.interference.note_slack(&run.image, slack + loss);
+            if let Some(earlier) = run.slack.read(slack, loss, uses.clone(), now) {
+                self.interference
+                    .learn(&run.image, (earlier.slack, &earlier.uses), (slack, &uses));
+            }
+        }
+        worker.margins = None;
+        worker.over_since = over.then(|| worker.over_since.unwrap_or(now));
+    }
+
+    /// Pace at which the noisy neighbours of each serving image leave it below its target, by its
+    /// place in the model.
+    fn pace_limits(&mut self, id: &WorkerId) -> Vec<(Option<usize>, f64)> {
+        let uses = self.uses(id, true);
+        let Some(worker) = self.workers.get(id) else {
+            return Vec::new();
+        };
+        let mut limits: Vec<(Option<usize>, f64)> = Vec::new();
+        for run in worker.runs.values() {
+            if run.target.is_none() || !run.is_serving() {
+                continue;
+            }
+            let Some(base) = run.slack.ahead(PACE_AHEAD_S) else {
+                continue;
+            };
+            let place = self.interference.place(&run.image);
+            let (noisy, calm): (Uses, Uses) = uses.iter().partition(|(image, _)| {
+                self.interference.coefficient(place, *image) > NOISY_COEFFICIENT
+            });
+            let noisy = self.interference.loss(place, &noisy);
+            if noisy <= 0.0 {
                 continue;
             }
-            let slower = slower && (noise > NOISY_COEFFICIENT || !any_noisy);
-            self.set_pace(id, &key, slower, faster, now);
+            let spare = base - 1.0 - PACE_RESERVE - self.interference.loss(place, &calm);
+            let limit = (spare / noisy).clamp(0.0, 1.0);
+            match limits.iter_mut().find(|(known, _)| *known == place) {
+                Some((_, least)) => *least = least.min(limit),
+                None => limits.push((place, limit)),
+            }
         }
+        limits
     }
 
-    fn set_pace(&mut self, id: &WorkerId, key: &TaskKey, slower: bool, faster: bool, now: Millis) {
-        let Some(run) = self
-            .workers
-            .get_mut(id)
-            .and_then(|worker| worker.runs.get_mut(key))
-        else {
+    /// Slows a run that disturbs a serving task down as far as needed, or speeds it up again.
+    fn set_pace(
+        &mut self,
+        id: &WorkerId,
+        key: &TaskKey,
+        limits: &[(Option<usize>, f64)],
+        now: Millis,
+    ) {
+        let Some(run) = self.workers.get(id).and_then(|worker| worker.runs.get(key)) else {
             return;
         };
-        let waited = now.since(run.paced);
-        if run.pace == 0 && waited > MOVE_AFTER && !faster {
-            tracing::info!(task = %key, worker = %id, image = run.image, "run is moved away from serving tasks");
-            self.stop(id, key, now);
+        let (pace, paced, saved) = (run.pace, run.paced, run.saved);
+        let noise = self.interference.noise(&run.image);
+        let limit = limits
+            .iter()
+            .filter(|(place, _)| noise.of(*place) > NOISY_COEFFICIENT)
+            .fold(1.0, |least: f64, (_, limit)| least.min(*limit));
+        let steps = (limit * f64::from(100 / PACE_STEP)).floor() as u32;
+        let wanted = steps * PACE_STEP;
+        let waited = now.since(paced);
+        if pace <= MOVE_PACE && wanted <= MOVE_PACE {
+            if saved && waited > MOVE_AFTER {
+                tracing::info!(task = %key, worker = %id, pace, "run is moved away from serving tasks");
+                self.stop(id, key, now);
+            }
             return;
         }
-        if waited < PACE_GAP {
-            return;
+        if (wanted < pace && waited >= SLOWER_GAP) || (wanted > pace && waited >= FASTER_GAP) {
+            self.send_pace(id, key, wanted, now);
         }
-        let at = PACES.iter().position(|pace| *pace <= run.pace).unwrap_or(0);
-        let next = match (slower, faster) {
-            (true, _) => PACES[(at + 1).min(PACES.len() - 1)],
-            (_, true) => PACES[at.saturating_sub(1)],
-            _ => return,
-        };
-        self.send_pace(id, key, next, now);
     }
 
     fn send_pace(&mut self, id: &WorkerId, key: &TaskKey, percent: u32, now: Millis) {
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use super::blame::Blame;
+use super::slack::Slack;
 use super::{Place, TaskKey};
 use crate::prelude::*;
 
@@ -63,8 +64,8 @@
     pub gauge: u64,
     pub pace: u32,
     pub paced: Millis,
-    /// How far its tail was above the model of late; a logarithm.
-    pub residual: f64,
+    /// How far its tail stays below its target.
+    pub slack: Slack,
 }
 
 impl Run {
@@ -90,7 +91,7 @@
             gauge: 0,
             pace: 100,
             paced: Millis::ZERO,
-            residual: 0.0,
+            slack: Slack::default(),
         }
     }
 }
@@ -111,8 +112,8 @@
     pub(super) over_since: Option<Millis>,
     /// Processors in use: reserved ones, and on average by tasks that serve.
     pub(super) busy: u64,
-    /// Least headroom of each serving image, by its place in the model, beside the present tasks;
-    /// `None` if not up to date.
+    /// Least slack that is to spare for each serving image, by its place in the model, beside the
+    /// present tasks; `None` if not up to date.
     pub(super) margins: Option<Vec<(Option<usize>, f64)>>,
     pub(super) runs: BTreeMap<TaskKey, Run>,
     /// Own time and the worker's clock at its last answer.
@@ -163,6 +164,11 @@
         Some(run)
     }
 
+    /// Tells whether it is registered and stays.
+    pub(super) fn is_open(&self) -> bool {
+        self.entry.as_ref().is_some_and(|entry| !entry.draining)
+    }
+
     /// Capacity that nothing takes.
     pub(super) fn free(&self) -> Resources {
         let capacity = self
--- a/tests/sharing_cases.rs
+++ b/tests/sharing_cases.rs
@@ -158,3 +158,43 @@
     assert!(placed(Some(&learned)) < placed(None));
     assert!(!leader(Millis(0)).set_learned(b"not a model"));
 }
+
+/// Guards against a filling job that waits for ever because its image disturbs every serving task,
+/// with most of the room free.
+#[test]
+fn a_noisy_job_does_not_wait_for_ever() {
+    let mut sched = leader(Millis(0));
+    let (serve, fill) = together(&mut sched, "noisy");
+    let mut tail = |now: Millis, tail: u64, used: u64| {
+        let running = vec![row(&serve, 100, tail), row(&fill, 50, used)];
+        let lists = Report {
+            running,
+            ..Report::default()
+        };
+        report(&mut sched, &serve.worker, 1, now, lists);
+        settle(&mut sched, 2, now);
+    };
+    for now in (500..10_000).step_by(500).map(Millis) {
+        if now.0 % 1000 == 0 {
+            tail(now, 45, 8000);
+        } else {
+            tail(now, 25, 0);
+        }
+    }
+
+    submit(&mut sched, "more", filling("noisy", 1), Millis(10_000));
+    let at_once = starts(&settle(&mut sched, 3, Millis(10_000))).len();
+    let mut started = None;
+    for now in (10_100..13_000).step_by(100).map(Millis) {
+        sched.tick(now);
+        if !starts(&settle(&mut sched, 4, now)).is_empty() {
+            started.get_or_insert(now);
+        }
+    }
+
+    assert_eq!(at_once, 0, "the noisy image is kept away at first");
+    assert!(
+        started.is_some_and(|at| at <= Millis(12_500)),
+        "started at {started:?}"
+    );
+}
