Send no start to a worker that began to drain after the start was planned

Planned starts whose record became durable late, and unanswered starts that are repeated, were sent without a look at the worker's entry.

Test: a_draining_worker_gets_no_start_that_was_planned_before, seen to fail first.

--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -142,6 +142,11 @@
 
     /// Sends a start, or sends it again.
     pub(super) fn start(&mut self, id: &WorkerId, key: &TaskKey, now: Millis) {
+        // The worker may have begun to leave since the start was planned.
+        if self.workers.get(id).is_some_and(|worker| !worker.is_open()) {
+            self.stop(id, key, now);
+            return;
+        }
         let (Some(job), Some(worker)) = (self.jobs.get_mut(&key.job), self.workers.get_mut(id))
         else {
             return;
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -424,3 +424,29 @@
     assert!(jobs.contains(&"d".to_string()), "{jobs:?}");
     assert_eq!(sent.len(), 2);
 }
+
+/// Guards against a start that is sent, or sent again, to a worker that has begun to drain since
+/// the start was planned.
+#[test]
+fn a_draining_worker_gets_no_start_that_was_planned_before() {
+    let mut sched = leader(Millis(0));
+    join(&mut sched, entry(1, 1, 8000, 8000), Millis(0));
+    let one = || job("urgent", vec![step(1, 1000, 1000)]);
+    submit(&mut sched, "sent", one(), Millis(0));
+    let first = starts(&settle(&mut sched, 1, Millis(0)));
+    answer(&mut sched, &first[0], StartAnswer::Unknown, Millis(500));
+    report(&mut sched, &first[0].worker, 1, Millis(600), Report::default());
+    submit(&mut sched, "planned", one(), Millis(600));
+    sched.plan(Millis(600));
+    let batch = sched.next_batch().expect("a record waits");
+
+    let mut draining = entry(1, 1, 8000, 8000);
+    draining.draining = true;
+    sched.set_entry(draining, Millis(700));
+    sched.committed(&batch, 2, Millis(800));
+    sched.tick(Millis(1000));
+    let orders = settle(&mut sched, 3, Millis(1000));
+
+    assert!(starts(&orders).is_empty(), "{orders:?}");
+    assert_eq!(stops(&orders).len(), 1, "the unanswered start is stopped");
+}
