Gather log lines into one write each 100 ms and count drops; decode workers' lists directly

Drops of the log were not counted.

Change: a bounded buffer whose thread writes every 100 ms and reports dropped lines (tracing-appender is gone); rows are decoded as tuples.

--- a/src/cli/entry.rs
+++ b/src/cli/entry.rs
@@ -32,9 +32,9 @@
 
 impl Entry {
     pub(super) async fn run(self) -> Result<Output, CliError> {
-        let _logs = init_json_logs();
-        let cfg = read_settings(&self.settings).map_err(CliError::bad_input)?;
         let failed = |err: std::io::Error| CliError::unreachable(err.to_string());
+        let _logs = init_json_logs().map_err(failed)?;
+        let cfg = read_settings(&self.settings).map_err(CliError::bad_input)?;
         let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
         let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
         let mut reload = signal(SignalKind::hangup()).map_err(failed)?;
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -1,9 +1,10 @@
 //! Bodies of calls to the store and to workers.
 
+use std::borrow::Cow;
+
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 
 use super::config::whole;
 use crate::prelude::*;
@@ -79,17 +80,37 @@
 /// Lists of a worker.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-pub(super) struct WireLists {
+pub(super) struct WireLists<'a> {
     clock_ms: f64,
     #[serde(default)]
     born: u64,
     /// Rows of everything that runs, despite its name.
-    #[serde(default)]
-    running_count: Vec<Vec<Value>>,
-    #[serde(default)]
-    ended: Vec<Vec<Value>>,
+    #[serde(borrow, default)]
+    running_count: Vec<RunningRow<'a>>,
+    #[serde(borrow, default)]
+    ended: Vec<EndedRow<'a>>,
 }
 
+/// Task, number of the run, checkpoint, percent, and tail in milliseconds or millicores in use.
+#[derive(Deserialize)]
+struct RunningRow<'a>(
+    #[serde(borrow)] Cow<'a, str>,
+    u32,
+    #[serde(borrow, default)] Option<Cow<'a, str>>,
+    #[serde(default)] f64,
+    #[serde(default)] f64,
+);
+
+/// Number of the end, task, number of the run, how it ended, checkpoint.
+#[derive(Deserialize)]
+struct EndedRow<'a>(
+    u64,
+    #[serde(borrow)] Cow<'a, str>,
+    u32,
+    #[serde(borrow)] Cow<'a, str>,
+    #[serde(borrow, default)] Option<Cow<'a, str>>,
+);
+
 #[derive(Deserialize)]
 pub(super) struct WireReason {
     #[serde(default)]
@@ -108,10 +129,10 @@
     STANDARD.decode(text).map_err(|err| err.to_string())
 }
 
-impl WireLists {
+impl WireLists<'_> {
     pub fn into_report(self) -> Result<Report, String> {
-        let running = self.running_count.iter().map(|row| running(row));
-        let ended = self.ended.iter().map(|row| ended(row));
+        let running = self.running_count.into_iter().map(running);
+        let ended = self.ended.into_iter().map(ended);
         Ok(Report {
             born: self.born,
             clock: Millis(whole(self.clock_ms)),
@@ -133,37 +154,26 @@
     parts.next().is_none().then_some(key)
 }
 
-fn running(row: &[Value]) -> Option<Running> {
+fn running(row: RunningRow) -> Option<Running> {
     Some(Running {
-        task: task(row.first()?.as_str()?)?,
-        run: u32::try_from(row.get(1)?.as_u64()?).ok()?,
-        checkpoint: text(row.get(2)),
-        percent: u32::try_from(number(row.get(3))).ok()?,
-        gauge: number(row.get(4)),
+        task: task(&row.0)?,
+        run: row.1,
+        checkpoint: row.2.unwrap_or_default().into_owned(),
+        percent: u32::try_from(whole(row.3)).ok()?,
+        gauge: whole(row.4),
     })
 }
 
-fn ended(row: &[Value]) -> Option<Ended> {
+fn ended(row: EndedRow) -> Option<Ended> {
     Some(Ended {
-        number: row.first()?.as_u64()?,
-        task: task(row.get(1)?.as_str()?)?,
-        run: u32::try_from(row.get(2)?.as_u64()?).ok()?,
-        how: match row.get(3)?.as_str()? {
+        number: row.0,
+        task: task(&row.1)?,
+        run: row.2,
+        how: match row.3.as_ref() {
             "done" => EndKind::Done,
             "failed" => EndKind::Failed,
             _ => EndKind::Interrupted,
         },
-        checkpoint: text(row.get(4)),
+        checkpoint: row.4.unwrap_or_default().into_owned(),
     })
 }
-
-fn text(value: Option<&Value>) -> String {
-    value
-        .and_then(Value::as_str)
-        .unwrap_or_default()
-        .to_string()
-}
-
-fn number(value: Option<&Value>) -> u64 {
-    value.and_then(Value::as_f64).map_or(0, whole)
-}
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -1,8 +1,8 @@
 //! Set-up of the log output.
 
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
+use super::{LineBuffer, LineGuard};
 use crate::schema::settings::{LogFormat, LogSettings};
 
 /// Sends logs to standard error in the format of the settings.
@@ -18,23 +18,17 @@
     };
 }
 
-/// Lines that wait for the output; later ones are dropped, so that no decision waits for a log.
-const BUFFERED_LINES: usize = 8192;
-
 /// Sends logs as JSON lines to standard output without ever blocking; lines are written until
 /// the guard is dropped.
-pub fn init_json_logs() -> WorkerGuard {
-    let (writer, guard) = NonBlockingBuilder::default()
-        .lossy(true)
-        .buffered_lines_limit(BUFFERED_LINES)
-        .finish(std::io::stdout());
+pub fn init_json_logs() -> std::io::Result<LineGuard> {
+    let (lines, guard) = LineBuffer::start(std::io::stdout())?;
     // A second initialization in one process, as in tests, keeps the first subscriber.
     let _ = tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
         .with_target(false)
         .with_max_level(tracing::Level::INFO)
-        .with_writer(writer)
+        .with_writer(lines)
         .try_init();
-    guard
+    Ok(guard)
 }
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -435,7 +435,13 @@
     submit(&mut sched, "sent", one(), Millis(0));
     let first = starts(&settle(&mut sched, 1, Millis(0)));
     answer(&mut sched, &first[0], StartAnswer::Unknown, Millis(500));
-    report(&mut sched, &first[0].worker, 1, Millis(600), Report::default());
+    report(
+        &mut sched,
+        &first[0].worker,
+        1,
+        Millis(600),
+        Report::default(),
+    );
     submit(&mut sched, "planned", one(), Millis(600));
     sched.plan(Millis(600));
     let batch = sched.next_batch().expect("a record waits");
