Close connections after their next answer once a server stops

Cause: members_node bundle_crosses_regions_and_a_cut_off_region_says_so was listed as red. Its wait was not load: a server that stops kept answering over open connections until its keep-alive ended (5 s), so the other region was heard for that long. The entry daemon's callers were kept the same way after SIGTERM.

Change: answers carry connection: close once the server's token is cancelled.

--- a/src/web/server.rs
+++ b/src/web/server.rs
@@ -11,6 +11,12 @@
 use super::{WebRes, WebService};
 use crate::prelude::*;
 
+/// What a server answers, and whether it is about to stop.
+struct Face {
+    service: Arc<dyn WebService>,
+    stopping: CancellationToken,
+}
+
 /// A running server; it stops gracefully when its token is cancelled.
 pub struct Server {
     addr: SocketAddr,
@@ -29,8 +35,12 @@
         let listener = TcpListener::bind(addr)?;
         listener.set_nonblocking(true)?;
         let addr = listener.local_addr()?;
+        let face = Face {
+            service,
+            stopping: cancel.clone(),
+        };
         let mut server = xitca_web::App::new()
-            .with_state(service)
+            .with_state(Arc::new(face))
             .at("/{*}", fn_service(handle))
             .serve()
             .disable_signal()
@@ -77,10 +87,17 @@
     }
 }
 
-async fn handle(mut cx: WebContext<'_, Arc<dyn WebService>>) -> Result<WebRes, Infallible> {
+async fn handle(mut cx: WebContext<'_, Arc<Face>>) -> Result<WebRes, Infallible> {
     let req = cx.take_request();
     let (parts, ext) = req.into_parts();
     let (_, body) = ext.replace_body(());
     let req = http::Request::from_parts(parts, body);
-    Ok(cx.state().call(req).await)
+    let face = cx.state();
+    let mut res = face.service.call(req).await;
+    if face.stopping.is_cancelled() {
+        // A peer that keeps its connection open would go on using it until the process ends.
+        let close = http::HeaderValue::from_static("close");
+        res.headers_mut().insert(http::header::CONNECTION, close);
+    }
+    Ok(res)
 }
