Add a randomized soak of real daemons with faults from outside

Daemons run as processes behind loopback proxies that delay, cut one way or both, silence and reset connections; they are stopped, continued, killed, terminated, reloaded and started again by signals; the store stand-in goes down, loses answers, forgets its history and removes the leader's key, and workers begin new lives. Callers keep their connections open. Checked from outside: no worker over its capacity, no task on two workers, no start after an acknowledged end, refused jobs never run, accepted jobs are completed everywhere and their tasks done, cancelled jobs stop, none is told as unknown or failed.

--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -1,14 +1,17 @@
 //! Stand-ins that speak the platform's protocol: its store and its workers.
 #![allow(dead_code)]
 
+mod client;
+mod proxy;
 mod store;
 mod workers;
 
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
@@ -22,8 +25,10 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
+pub use client::Client;
+pub use proxy::Proxy;
 pub use store::StoreStandin;
-pub use workers::WorkerStandin;
+pub use workers::{Seen, WorkerStandin};
 
 /// An answer of a stand-in; `None` leaves the caller without one.
 pub type Answer = Option<(StatusCode, Value)>;
@@ -73,17 +78,40 @@
     pub store: StoreStandin,
     pub workers: Vec<WorkerStandin>,
     pub daemons: Vec<Daemon>,
+    pub seen: Arc<Mutex<Seen>>,
+    /// The way to each worker.
+    pub worker_links: Vec<Proxy>,
     dir: PathBuf,
+    keep_logs: bool,
 }
 
 /// A daemon as a separate process.
 pub struct Daemon {
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    /// Its way to the store.
+    pub store_link: Proxy,
+    settings: PathBuf,
+    log: PathBuf,
     child: Child,
 }
 
 impl Daemon {
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, signal).expect("own process");
+    }
+
+    /// Starts the process again if it has ended; returns whether it did.
+    pub fn revive(&mut self) -> bool {
+        let ended = self.child.try_wait().expect("own process").is_some();
+        if ended {
+            self.child = spawn(&self.settings, &self.log);
+        }
+        ended
+    }
+
     /// Kills the process without notice.
     pub fn kill(&mut self) {
         self.child.kill().expect("own process");
@@ -92,12 +120,25 @@
 
     /// Asks the process to end and waits for it.
     pub fn terminate(&mut self) {
-        let pid = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("own process");
+        self.signal(rustix::process::Signal::TERM);
         self.child.wait().expect("own process");
     }
 }
 
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let log = std::fs::File::options()
+        .create(true)
+        .append(true)
+        .open(log)
+        .expect("log");
+    Command::new(env!("CARGO_BIN_EXE_sapphirecroft"))
+        .arg("entry")
+        .env("SAPPHIRECROFT_SETTINGS", settings)
+        .stdout(Stdio::from(log))
+        .spawn()
+        .expect("daemon starts")
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         for daemon in &mut self.daemons {
@@ -105,7 +146,7 @@
             let _ = daemon.child.kill();
             let _ = daemon.child.wait();
         }
-        if std::thread::panicking() {
+        if self.keep_logs || std::thread::panicking() {
             eprintln!("logs of the daemons are in {}", self.dir.display());
         } else {
             let _ = std::fs::remove_dir_all(&self.dir);
@@ -142,16 +183,19 @@
             store,
             workers: Vec::new(),
             daemons: Vec::new(),
+            seen: Arc::default(),
+            worker_links: Vec::new(),
             dir,
+            keep_logs: false,
         };
         for at in 0..workers {
-            let worker = WorkerStandin::start(at).await;
-            site.store
-                .put(&format!("servers/{}", worker.id), &worker.entry());
+            let worker = WorkerStandin::start(at, &site.seen).await;
+            site.worker_links.push(Proxy::start(worker.addr).await);
             site.workers.push(worker);
+            site.register(at);
         }
         for _ in 0..daemons {
-            site.add_daemon();
+            site.add_daemon().await;
         }
         for at in 0..daemons {
             let ready = site.daemons[at].ready;
@@ -166,7 +210,20 @@
         site
     }
 
-    fn add_daemon(&mut self) {
+    /// Keeps the logs of the daemons for someone to read.
+    pub fn keep_logs(&mut self) {
+        self.keep_logs = true;
+    }
+
+    /// Writes a worker's entry into the store.
+    pub fn register(&self, at: usize) {
+        let worker = &self.workers[at];
+        let entry = worker.entry(self.worker_links[at].addr);
+        self.store.put(&format!("servers/{}", worker.id), &entry);
+    }
+
+    async fn add_daemon(&mut self) {
+        let store_link = Proxy::start(self.store.addr).await;
         let front = free_ports();
         let (ready, peer) = (front + 1, front + 2);
         let at = self.daemons.len();
@@ -178,21 +235,18 @@
             },
             "internalPorts": [peer, peer + 1],
             "bounds": {"graceS": 6, "holdMaxMs": 6000, "status_s": 120, "impactMs": 4000},
-            "platform": {"address": self.store.addr.to_string(), "ttlMinMs": 1000},
+            "platform": {"address": store_link.addr.to_string(), "ttlMinMs": 1000},
         });
         let path = self.dir.join(format!("{at}.json"));
         std::fs::write(&path, settings.to_string()).expect("settings");
-        let log = std::fs::File::create(self.dir.join(format!("{at}.log"))).expect("log");
-        let child = Command::new(env!("CARGO_BIN_EXE_sapphirecroft"))
-            .arg("entry")
-            .env("SAPPHIRECROFT_SETTINGS", &path)
-            .stdout(Stdio::from(log))
-            .spawn()
-            .expect("daemon starts");
+        let log = self.dir.join(format!("{at}.log"));
         self.daemons.push(Daemon {
             front: SocketAddr::from(([127, 0, 0, 1], front)),
             ready: SocketAddr::from(([127, 0, 0, 1], ready)),
-            child,
+            store_link,
+            child: spawn(&path, &log),
+            settings: path,
+            log,
         });
     }
 
@@ -249,25 +303,7 @@
 
 /// Sends one request on a connection of its own; status 0 stands for no answer.
 pub async fn call(addr: SocketAddr, method: &str, path: &str, body: &str) -> (u16, Value) {
-    let exchange = async {
-        let stream = tokio::net::TcpStream::connect(addr).await.ok()?;
-        let io = TokioIo::new(stream);
-        let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
-        tokio::spawn(connection);
-        let req = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", "host.example")
-            .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(body.to_string())))
-            .expect("valid request");
-        let res = sender.send_request(req).await.ok()?;
-        let status = res.status().as_u16();
-        let body = res.into_body().collect().await.ok()?.to_bytes();
-        Some((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
-    };
-    let limited = tokio::time::timeout(Duration::from_secs(5), exchange).await;
-    limited.ok().flatten().unwrap_or((0, Value::Null))
+    Client::default().call(addr, method, path, body).await
 }
 
 /// A configuration with one queue.
--- a/tests/platform_support/store.rs
+++ b/tests/platform_support/store.rs
@@ -31,6 +31,8 @@
     leases: HashMap<u64, (Instant, Duration)>,
     down: bool,
     lose_writes: usize,
+    /// History up to this revision is gone.
+    forgotten: u64,
 }
 
 /// The store, with switches for its troubles.
@@ -68,6 +70,13 @@
         self.state.lock().lose_writes = count;
     }
 
+    /// Forgets all history, so that watches have to begin anew.
+    pub fn forget_history(&self) {
+        let mut state = self.state.lock();
+        state.forgotten = state.rev;
+        state.history.clear();
+    }
+
     /// Takes a key away without notice to its writer.
     pub fn remove(&self, key: &str) {
         self.state.lock().remove(key);
@@ -201,6 +210,9 @@
             {
                 let mut state = state.lock();
                 state.expire();
+                if number("after") < state.forgotten {
+                    return Some((StatusCode::GONE, json!({})));
+                }
                 let events = state.events(&param("prefix"), number("after"));
                 if state.down {
                     return None;
