Explain from logs what became of a job

sapphirecroft explain ID FILES reads the logs of several daemons, prints the lines of one job and of what all jobs depend on meanwhile, and marks the line that decided.

Log lines are gathered for 30 ms instead of 100: a killed process loses as much of its log, seen in the logs of the soak.

--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -9,6 +9,7 @@
 use super::dev::{Dev, dev};
 use super::drain::{Drain, drain};
 use super::entry::{Entry, entry};
+use super::explain::{Explain, explain};
 use super::job::{JobVerb, job};
 use super::key::{KeyVerb, key};
 use super::serve::{Serve, serve};
@@ -38,6 +39,8 @@
     View(View),
     /// Takes workers and zones out of use.
     Drain(Drain),
+    /// Explains from logs what became of a job.
+    Explain(Explain),
     /// Measures policies and costs.
     Bench(Bench),
 }
@@ -54,9 +57,10 @@
     let job = job().map(Command::Job);
     let view = view().map(Command::View);
     let drain = drain().map(Command::Drain);
+    let explain = explain().map(Command::Explain);
     let bench = bench().map(Command::Bench);
     construct!([
-        serve, entry, dev, check, bundle, key, audit, job, view, drain, bench
+        serve, entry, dev, check, bundle, key, audit, job, view, drain, explain, bench
     ])
     .to_options()
     .version(env!("CARGO_PKG_VERSION"))
@@ -81,6 +85,7 @@
             Self::Job(verb) => verb.run().await,
             Self::View(verb) => verb.run().await,
             Self::Drain(verb) => verb.run().await,
+            Self::Explain(verb) => verb.run(),
             Self::Bench(verb) => verb.run().await,
         }
     }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod drain;
 mod entry;
 mod exit;
+mod explain;
 mod job;
 mod key;
 mod output;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod drain;
 pub mod entry;
 pub mod error;
+pub mod explain;
 pub mod ini;
 pub mod membership;
 pub mod model;
--- a/src/telemetry/line_buffer.rs
+++ b/src/telemetry/line_buffer.rs
@@ -9,10 +9,10 @@
 
 use crate::prelude::*;
 
-/// Time for which lines are gathered; an operator who follows the log does not notice it.
-const GATHER: Duration = Duration::from_millis(100);
+/// Time for which lines are gathered; a process that is killed loses as much of its log.
+const GATHER: Duration = Duration::from_millis(30);
 
-/// Most bytes that wait; with `GATHER` at most 5 MB a second, some ten times a busy leader's log.
+/// Most bytes that wait; with `GATHER` at most 17 MB a second.
 const MAX_WAITING: usize = 512 << 10;
 
 #[derive(Default)]
