--- a/src/scheduler/sharing.rs
+++ b/src/scheduler/sharing.rs
@@ -31,7 +31,7 @@
 const END_PERMILLE: u64 = 500;
 
 /// Slack that a placement leaves to spare: a tail is read with an error of about 8%.
-const PLACE_RESERVE: f64 = 0.3;
+const PLACE_RESERVE: f64 = 0.1;
 
 /// Time for which a placement looks ahead, in seconds; a task that fills runs about as long.
 const PLACE_AHEAD_S: f64 = 1.5;
