Ask the advice service for queues whose policy allows only some workers

Change: a step of such a queue asks for leave on workers that have room, one call at a time for a step and at most 16 at once; its starts carry the ticket of that life of the worker within its validity, a rejected ticket is dropped without blame for the worker, and workers that the policy does not allow are not asked for again.

--- a/src/bench/leader.rs
+++ b/src/bench/leader.rs
@@ -340,7 +340,7 @@
                             .stop_answered(&stop.worker, &stop.task, stop.run, true, now);
                     });
                 }
-                Order::Pace { .. } => {}
+                Order::Pace { .. } | Order::Advise(_) => {}
             }
         }
     }
@@ -381,6 +381,7 @@
         max_attempts: 4,
         stretch_permille: 2000,
         target_latency: Millis(1000),
+        advice: None,
     };
     let all = [queue("urgent", 0), queue("patient", 2)];
     Arc::new(QueueTable {
--- a/src/cli/entry.rs
+++ b/src/cli/entry.rs
@@ -39,7 +39,7 @@
         let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
         let mut reload = signal(SignalKind::hangup()).map_err(failed)?;
         let store = Arc::new(KvClient::new(cfg.store.clone()));
-        let workers = Arc::new(WorkerClient::default());
+        let workers = Arc::new(WorkerClient::new(cfg.advice.clone()));
         let daemon = EntryDaemon::start(cfg.clone(), store, workers, Arc::new(Names), boot_clock())
             .map_err(failed)?;
         loop {
--- a/src/entry/ports.rs
+++ b/src/entry/ports.rs
@@ -4,7 +4,8 @@
 
 use crate::prelude::*;
 use crate::scheduler::{
-    JobSpec, JobView, QueueTable, Report, StartAnswer, StartOrder, StopOrder, WorkerEntry,
+    AdviseOrder, JobSpec, JobView, QueueTable, Report, StartAnswer, StartOrder, StopOrder,
+    WorkerEntry,
 };
 
 /// An item of the store.
@@ -95,6 +96,8 @@
     async fn start(&self, order: &StartOrder) -> StartAnswer;
     /// Ends a run; returns whether the worker acknowledged it.
     async fn stop(&self, order: &StopOrder) -> bool;
+    /// Asks which workers may run a step; `None` if nobody answered.
+    async fn advise(&self, order: &AdviseOrder) -> Option<Vec<(WorkerId, String)>>;
     /// Lets a run work at a share of its speed.
     async fn pace(&self, order: &StopOrder, percent: u32) -> bool;
 }
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -85,6 +85,7 @@
                         StartAnswer::Old => "old",
                         StartAnswer::Late => "late",
                         StartAnswer::NoRoom => "no_room",
+                        StartAnswer::NoTicket => "no_ticket",
                         StartAnswer::Ended => "ended",
                         StartAnswer::Refused => "refused",
                         StartAnswer::Unknown => "unknown",
@@ -114,6 +115,14 @@
                     });
                 });
             }
+            Order::Advise(order) => {
+                tokio::spawn(async move {
+                    let answer = leader.shared.workers.advise(&order).await;
+                    let allowed = answer.as_ref().map(Vec::len);
+                    tracing::info!(job = %order.job, step = order.step, named = order.workers.len(), ?allowed, "advice");
+                    leader.change(|sched, now| sched.advised(&order, answer.as_deref(), now));
+                });
+            }
             Order::Pace { run, percent } => {
                 tokio::spawn(async move {
                     if leader.lost.is_cancelled() {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -18,6 +18,8 @@
     pub metrics: String,
     /// Address of the key-value service.
     pub store: String,
+    /// Address of the advice service, if there is one.
+    pub advice: Option<String>,
     /// Processors of this VM, in cores.
     pub processors: f64,
     /// Shortest lease of the key-value service.
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 
 use crate::prelude::*;
-use crate::scheduler::{Queue, QueueTable};
+use crate::scheduler::{AdviceTerms, Queue, QueueTable};
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -39,6 +39,18 @@
     stretch_factor: f64,
     #[serde(default)]
     target_latency_ms: f64,
+    advice: Option<Advice>,
+}
+
+/// Times of the advice service for a queue, in milliseconds.
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Advice {
+    decide_ms: f64,
+    /// Time for each worker that a call names.
+    period_ms: f64,
+    /// Validity of a ticket.
+    valid_ms: f64,
 }
 
 /// Attempts of a queue that names none.
@@ -73,6 +85,15 @@
                     DEFAULT_STRETCH_PERMILLE
                 },
                 target_latency: Millis(whole(route.target_latency_ms)),
+                // A queue may name the service without any times: it needs no advice.
+                advice: route
+                    .advice
+                    .filter(|advice| advice.valid_ms > 0.0)
+                    .map(|advice| AdviceTerms {
+                        decide: Millis(whole(advice.decide_ms)),
+                        period: Millis(whole(advice.period_ms)),
+                        valid: Millis(whole(advice.valid_ms)),
+                    }),
             };
             (route.name, queue)
         })
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -20,6 +20,8 @@
     #[serde(default)]
     bounds: Bounds,
     platform: Store,
+    /// Address of the advice service.
+    advice: Option<String>,
     #[serde(default)]
     limits: Limits,
 }
@@ -118,6 +120,7 @@
         peer: format!("{}:{first}", boot.ip),
         metrics: format!("{}:{}", boot.ip, first + 1),
         store: boot.platform.address,
+        advice: boot.advice.filter(|address| !address.is_empty()),
         processors: boot.limits.cpu_share * boot.limits.cores,
         shortest_lease: Millis(whole(boot.platform.ttl_min_ms)),
         grace: Millis(whole(boot.bounds.grace_s * 1000.0)),
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -111,6 +111,12 @@
     #[serde(borrow, default)] Option<Cow<'a, str>>,
 );
 
+/// Workers that may run a step, each with its ticket.
+#[derive(Deserialize)]
+pub(super) struct WireAdvice {
+    pub allowed: Vec<(WorkerId, String)>,
+}
+
 #[derive(Deserialize)]
 pub(super) struct WireReason {
     #[serde(default)]
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -7,10 +7,10 @@
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 
-use super::wire::{WireLists, WireReason};
+use super::wire::{WireAdvice, WireLists, WireReason};
 use crate::entry::{HoldCall, HoldError, WorkerCalls};
 use crate::prelude::*;
-use crate::scheduler::{Report, StartAnswer, StartOrder, StopOrder};
+use crate::scheduler::{AdviseOrder, Report, StartAnswer, StartOrder, StopOrder};
 use crate::web::{Link, LinkError, LinkRequest};
 
 /// Time for an order: a worker answers within a few ms, and a lost packet costs about 200 ms.
@@ -19,13 +19,24 @@
 /// Time on top of a read's own wait.
 const HOLD_MARGIN: Millis = Millis(600);
 
-/// Calls workers, each over connections of its own.
-#[derive(Default)]
+/// Time on top of an advice call's own, with up to 31 calls before it in the queue.
+const ADVICE_MARGIN: Millis = Millis(3000);
+
+/// Calls workers, each over connections of its own, and the advice service.
 pub struct WorkerClient {
     links: Mutex<HashMap<String, Arc<Link>>>,
+    advice: Option<Link>,
 }
 
 impl WorkerClient {
+    /// Creates a client without opening a connection.
+    pub fn new(advice: Option<String>) -> Self {
+        Self {
+            links: Mutex::default(),
+            advice: advice.map(Link::new),
+        }
+    }
+
     fn link(&self, address: &str) -> Arc<Link> {
         let mut links = self.links.lock();
         if let Some(link) = links.get(address) {
@@ -126,6 +137,9 @@
         if !order.checkpoint.is_empty() {
             body["checkpointId"] = json!(order.checkpoint);
         }
+        if !order.ticket.is_empty() {
+            body["ticket"] = json!(order.ticket);
+        }
         let called = self
             .call(
                 &order.worker,
@@ -144,6 +158,7 @@
                     Some("old") => StartAnswer::Old,
                     Some("late") => StartAnswer::Late,
                     Some("room") => StartAnswer::NoRoom,
+                    Some("ticket") => StartAnswer::NoTicket,
                     _ => StartAnswer::Refused,
                 }
             }
@@ -164,6 +179,42 @@
         self.order(order, "/run-stop", json!({})).await
     }
 
+    async fn advise(&self, order: &AdviseOrder) -> Option<Vec<(WorkerId, String)>> {
+        let Some(link) = &self.advice else {
+            tracing::error!(job = %order.job, "the queue needs advice, and the settings name no service");
+            return None;
+        };
+        let step = format!("{}.{}.{}", order.job, order.occurrence, order.step);
+        let names: Vec<&str> = order.workers.iter().map(WorkerId::as_str).collect();
+        let req = LinkRequest {
+            method: Method::POST,
+            path: "/advise",
+            headers: &[("content-type", "application/json".to_string())],
+            body: json!({ "step": step, "workers": names })
+                .to_string()
+                .into_bytes(),
+            timeout: order.expected + ADVICE_MARGIN,
+        };
+        let (status, _, body) = match link.call(req).await {
+            Ok(answer) => answer,
+            Err(err) => {
+                tracing::info!(step, %err, "no advice");
+                return None;
+            }
+        };
+        if status != StatusCode::OK {
+            tracing::info!(step, %status, "no advice");
+            return None;
+        }
+        match serde_json::from_slice::<WireAdvice>(&body) {
+            Ok(advice) => Some(advice.allowed),
+            Err(err) => {
+                tracing::error!(step, %err, "advice cannot be read");
+                None
+            }
+        }
+    }
+
     async fn pace(&self, order: &StopOrder, percent: u32) -> bool {
         self.order(order, "/pace", json!({ "percent": percent }))
             .await
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -147,6 +147,10 @@
             self.stop(id, key, now);
             return;
         }
+        let Some(ticket) = self.ticket_for(id, key, now) else {
+            self.stop(id, key, now);
+            return;
+        };
         let (Some(job), Some(worker)) = (self.jobs.get_mut(&key.job), self.workers.get_mut(id))
         else {
             return;
@@ -188,9 +192,27 @@
             deadline,
             fence: self.fence,
             checkpoint,
+            ticket,
         }));
     }
 
+    /// Returns the ticket that a start carries, empty if its queue needs none; `None` if it needs
+    /// one and there is none.
+    fn ticket_for(&self, id: &WorkerId, key: &TaskKey, now: Millis) -> Option<String> {
+        let job = self.jobs.get(&key.job)?;
+        let needed = self
+            .queues
+            .queues
+            .get(&job.spec.queue)
+            .is_some_and(|queue| queue.advice.is_some());
+        if !needed {
+            return Some(String::new());
+        }
+        let advice = self.advice.get(&(key.job.clone(), job.unit_of(key)?))?;
+        let ticket = advice.ticket(self.workers.get(id)?, now)?;
+        Some(ticket.to_string())
+    }
+
     /// Lets a worker forget the ends that are durable; returns whether there are new ones.
     pub(super) fn acknowledge_ends(&mut self, id: &WorkerId) -> bool {
         let Some(worker) = self.workers.get_mut(id) else {
--- a/src/scheduler/intake.rs
+++ b/src/scheduler/intake.rs
@@ -277,6 +277,7 @@
             StartAnswer::Fenced
             | StartAnswer::Late
             | StartAnswer::NoRoom
+            | StartAnswer::NoTicket
             | StartAnswer::Refused => {
                 tracing::info!(task = %key, run = number, worker = %id, ?answer, "start rejected");
                 if answer == StartAnswer::Refused || answer == StartAnswer::NoRoom {
@@ -287,6 +288,9 @@
                     run.settled = None;
                     self.call_stop(id, key, now);
                 }
+                if answer == StartAnswer::NoTicket {
+                    self.drop_ticket(id, key);
+                }
                 if answer == StartAnswer::Fenced {
                     self.may_start = false;
                 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Plain state and plain functions: time and answers are passed in, orders are taken out.
 
+mod advice;
 mod blame;
 mod commit;
 mod entries;
@@ -23,6 +24,7 @@
 mod tick;
 mod worker;
 
+pub use advice::{AdviceTerms, AdviseOrder};
 pub use commit::{Batch, RecordWrite};
 pub use job::{Job, JobView, Phase};
 pub use order::{HoldPlan, Order, StartAnswer, StartOrder, StopOrder};
--- a/src/scheduler/order.rs
+++ b/src/scheduler/order.rs
@@ -1,6 +1,6 @@
 //! What the scheduler asks of the I/O around it.
 
-use super::TaskKey;
+use super::{AdviseOrder, TaskKey};
 use crate::prelude::*;
 
 /// A call to a worker.
@@ -10,6 +10,8 @@
     Start(StartOrder),
     /// End a run.
     Stop(StopOrder),
+    /// Ask which workers may run a step.
+    Advise(AdviseOrder),
     /// Let a run work at a share of its speed.
     Pace {
         /// The run to change.
@@ -38,6 +40,8 @@
     pub fence: u64,
     /// Checkpoint to resume from; empty if there is none.
     pub checkpoint: String,
+    /// Leave of the advice service; empty if the queue needs none.
+    pub ticket: String,
 }
 
 /// Ends a run on a worker.
@@ -68,6 +72,8 @@
     Late,
     /// The worker has no room.
     NoRoom,
+    /// The ticket is missing or no longer valid.
+    NoTicket,
     /// Another life answers at the worker's address.
     Ended,
     /// The worker has done nothing, for another reason.
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use super::advice::Advice;
 use super::interference::{Interference, Noise};
 use super::round::Round;
 use super::state::new_run;
@@ -180,6 +181,10 @@
         }
         let gang_run = job.units[unit].tasks.iter().map(|task| task.run).max();
         let noise = self.interference.noise(&step.image);
+        let step_key = (job.id.clone(), unit);
+        let advice = queue
+            .advice
+            .map(|_| self.advice.get(&step_key).cloned().unwrap_or_default());
         let mut placed = Vec::new();
         for index in open {
             let failures = job.units[unit].tasks[index].failures;
@@ -190,6 +195,7 @@
                 chosen: &chosen,
                 last_chance: failures > 0 && failures + 1 >= queue.max_attempts,
                 overdue: round.is_overdue(job),
+                advice: advice.as_ref(),
             };
             let found = if round.is_hopeless(step, &queue.service) && !ask.overdue {
                 None
@@ -229,6 +235,9 @@
             }
             placed.push((worker, key, index));
         }
+        if queue.advice.is_some() && job.units[unit].has_open_tasks() {
+            self.ask_advice(job, unit, &queue.service, now);
+        }
         if step.gang && placed.len() < job.units[unit].tasks.len() {
             for (worker, key, index) in placed {
                 if let Some(found) = self.workers.get_mut(&worker) {
@@ -278,6 +287,8 @@
     pub last_chance: bool,
     /// The job has waited for too long while there is room: disturbance is left to the pace.
     pub overdue: bool,
+    /// Workers that the queue's policy allows, if it does not allow all.
+    pub advice: Option<&'a Advice>,
 }
 
 impl Ask<'_> {
@@ -289,12 +300,15 @@
         let open = worker.entry.as_ref().is_some_and(|entry| {
             !entry.draining && entry.born == worker.born && entry.service == self.service
         });
+        let allowed = self
+            .advice
+            .is_none_or(|advice| advice.ticket(worker, now).is_some());
         let labelled = self
             .step
             .requires
             .as_ref()
             .is_none_or(|label| worker.has_label(label));
-        open && labelled && self.is_within(worker)
+        open && labelled && allowed && self.is_within(worker)
     }
 
     /// Tells whether one more task keeps the bound on tasks of a step on one worker.
@@ -306,7 +320,10 @@
 
     /// Tells whether nothing but its size keeps the task from a worker.
     fn is_general(&self) -> bool {
-        self.step.requires.is_none() && self.step.max_per_worker.is_none() && !self.last_chance
+        self.step.requires.is_none()
+            && self.step.max_per_worker.is_none()
+            && self.advice.is_none()
+            && !self.last_chance
     }
 }
 
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::AdviceTerms;
 use crate::prelude::*;
 
 /// A queue that accepts jobs under a host and a path prefix.
@@ -23,6 +24,8 @@
     pub stretch_permille: u64,
     /// Fixed part of a job's objective.
     pub target_latency: Millis,
+    /// The queue's policy allows only some workers, which an advice service names.
+    pub advice: Option<AdviceTerms>,
 }
 
 impl Queue {
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use super::advice::{Advice, StepKey};
 use super::interference::Interference;
 use super::worker::{Run, RunState};
 use super::{
@@ -44,6 +45,7 @@
     /// Mean work of the jobs of each queue, in core-seconds.
     pub(super) mean_work: HashMap<String, f64>,
     pub(super) interference: Interference,
+    pub(super) advice: HashMap<StepKey, Advice>,
     pub(super) replan: bool,
     pub(super) may_start: bool,
 }
@@ -64,6 +66,7 @@
             active: BTreeSet::new(),
             mean_work: HashMap::new(),
             interference: Interference::default(),
+            advice: HashMap::new(),
             replan: true,
             may_start: true,
         }
@@ -166,6 +169,7 @@
         job.version += 1;
         self.dirty.insert(id.clone());
         self.active.remove(id);
+        self.advice.retain(|(job, _), _| job != id);
         self.replan = true;
         let mut stops = Vec::new();
         for unit in 0..job.units.len() {
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -169,6 +169,13 @@
         self.entry.as_ref().is_some_and(|entry| !entry.draining)
     }
 
+    /// Tells whether it belongs to a service.
+    pub(super) fn serves(&self, service: &str) -> bool {
+        self.entry
+            .as_ref()
+            .is_some_and(|entry| entry.service == service)
+    }
+
     /// Capacity that nothing takes.
     pub(super) fn free(&self) -> Resources {
         let capacity = self
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -101,6 +101,27 @@
     assert_started_once(&site, "00000000000000d2", 2);
 }
 
+/// Guards against starts without a ticket, or on workers that a queue's policy does not allow.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_queue_with_advice_uses_the_workers_that_it_names() {
+    let site = Site::start("advice", 3, 1).await;
+    let body = json!({"spec": "advised", "steps": [
+        {"count": 4, "cpu": 1000, "memMb": 1000, "estimateMs": 400},
+        {"count": 2, "cpu": 1000, "memMb": 1000, "estimateMs": 400, "after": [0]},
+    ]});
+
+    let path = "/advised/00000000000000f1";
+    let (status, _) = call(site.daemons[0].front, "POST", path, &body.to_string()).await;
+    site.wait_state(0, "00000000000000f1", "completed").await;
+
+    assert_eq!(status, 200);
+    assert_started_once(&site, "00000000000000f1", 6);
+    let elsewhere = site.workers[1..]
+        .iter()
+        .map(|worker| worker.started().len());
+    assert_eq!(elsewhere.sum::<usize>(), 0);
+}
+
 /// Guards against requests that are answered by an older version of the configuration.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_new_configuration_is_in_force_within_two_seconds() {
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -222,6 +222,15 @@
         self.store.put(&format!("servers/{}", worker.id), &entry);
     }
 
+    /// Serves advice that allows the first worker alone.
+    async fn start_advice() -> SocketAddr {
+        serve(|_, _, _| async {
+            let answer = json!({"allowed": [["i-0", "t-i-0"]], "validMs": 3000});
+            Some((StatusCode::OK, answer))
+        })
+        .await
+    }
+
     async fn add_daemon(&mut self) {
         let store_link = Proxy::start(self.store.addr).await;
         let front = free_ports();
@@ -235,6 +244,7 @@
             },
             "internalPorts": [peer, peer + 1],
             "bounds": {"graceS": 6, "holdMaxMs": 6000, "status_s": 120, "impactMs": 4000},
+            "advice": Self::start_advice().await.to_string(),
             "platform": {"address": store_link.addr.to_string(), "ttlMinMs": 1000},
         });
         let path = self.dir.join(format!("{at}.json"));
@@ -314,6 +324,10 @@
             "name": "r", "host": "host.example", "prefix": "/queue/", "service": "s",
             "kind": "non_idempotent", "timeoutMs": 3000, "targetLatencyMs": 300, "priority": 0,
             "maxAttempts": 3, "stretchFactor": 1.5,
+        }, {
+            "name": "advised", "host": "host.example", "prefix": "/advised/", "service": "s",
+            "priority": 0, "maxAttempts": 3, "stretchFactor": 1.5,
+            "advice": {"decideMs": 20, "periodMs": 2, "validMs": 3000},
         }],
         "services": [{"name": "s", "enforcesCapacity": false}],
         "limits": {"maxBodyBytes": 262_144},
--- a/tests/platform_support/workers.rs
+++ b/tests/platform_support/workers.rs
@@ -44,6 +44,7 @@
 }
 
 struct State {
+    id: String,
     begun: Instant,
     born: u64,
     seen: Arc<Mutex<Seen>>,
@@ -67,7 +68,9 @@
 
 impl WorkerStandin {
     pub async fn start(at: usize, seen: &Arc<Mutex<Seen>>) -> Self {
+        let id = format!("i-{at}");
         let state = Arc::new(Mutex::new(State {
+            id: id.clone(),
             begun: Instant::now(),
             born: 1,
             seen: seen.clone(),
@@ -86,11 +89,7 @@
             async move { answer(&state, &path, &body).await }
         })
         .await;
-        let worker = Self {
-            id: format!("i-{at}"),
-            addr,
-            state,
-        };
+        let worker = Self { id, addr, state };
         seen.lock().workers.push(worker.clone());
         worker
     }
@@ -188,10 +187,13 @@
         if self.past.get(&task).is_some_and(|past| *past >= run) {
             return refuse("old");
         }
+        let spec = body["spec"].as_str().unwrap_or_default();
+        if spec.contains("advised") && body["ticket"] != json!(format!("t-{}", self.id)) {
+            return refuse("ticket");
+        }
         self.lease = self.lease.max(deadline);
         self.past.insert(task.clone(), run);
         self.started.push((task.clone(), run));
-        let spec = body["spec"].as_str().unwrap_or_default();
         let number = |name: &str, most: u64| {
             let found = spec.split(' ').find_map(|part| part.strip_prefix(name));
             found.and_then(|text| text.parse().ok()).unwrap_or(most)
--- a/tests/scheduler_support/mod.rs
+++ b/tests/scheduler_support/mod.rs
@@ -34,6 +34,7 @@
         max_attempts,
         stretch_permille: 2000,
         target_latency: Millis(1000),
+        advice: None,
     }
 }
 
--- a/tests/scheduler_support/sim.rs
+++ b/tests/scheduler_support/sim.rs
@@ -454,7 +454,7 @@
                 term.sched
                     .stop_answered(&stop.worker, &stop.task, stop.run, acknowledged, now);
             }
-            Order::Pace { .. } => {}
+            Order::Pace { .. } | Order::Advise(_) => {}
         }
     }
 
