--- a/src/admin/answer.rs
+++ b/src/admin/answer.rs
@@ -108,3 +108,8 @@
         }
     }
 }
+
+/// Answer to a path that names no call.
+pub(super) fn no_such_call() -> AdminAnswer {
+    AdminAnswer::error(ErrorKind::NotFound, "there is no such call")
+}
--- a/src/admin/audit_calls.rs
+++ b/src/admin/audit_calls.rs
@@ -3,8 +3,8 @@
 use http::Method;
 
 use super::AdminAnswer;
+use super::answer::no_such_call;
 use super::request::{Request, parse};
-use super::service::no_such_call;
 use crate::audit::AuditTrail;
 use crate::prelude::*;
 use crate::schema::config::{AuditPage, ErrorKind, OperatorRecord, Role};
--- a/src/admin/key_calls.rs
+++ b/src/admin/key_calls.rs
@@ -3,9 +3,9 @@
 use http::Method;
 
 use super::AdminAnswer;
+use super::answer::no_such_call;
 use super::auth::{Caller, unauthenticated};
 use super::request::Request;
-use super::service::no_such_call;
 use crate::bundle::BundleDesk;
 use crate::prelude::*;
 
--- a/src/admin/service.rs
+++ b/src/admin/service.rs
@@ -3,6 +3,7 @@
 use async_trait::async_trait;
 use http::Method;
 
+use super::answer::no_such_call;
 use super::auth::{Auth, Caller, unauthenticated};
 use super::request::Request;
 use super::{AdminAnswer, AdminExtension, audit_calls, bundle_calls, key_calls};
@@ -96,7 +97,3 @@
         self.answer(req).await.into_response()
     }
 }
-
-pub(super) fn no_such_call() -> AdminAnswer {
-    AdminAnswer::error(ErrorKind::NotFound, "there is no such call")
-}
--- a/src/entry/election.rs
+++ b/src/entry/election.rs
@@ -4,9 +4,9 @@
 
 use super::config_watch::{GET_TIMEOUT, RETRY_PAUSE, WATCH_WAIT};
 use super::keys::LEADER;
-use super::leader;
 use super::ports::{Change, Item, News, Outcome, Transaction};
 use super::shared::{LeaderName, Shared};
+use super::term::lead;
 use crate::prelude::*;
 
 /// Lease of the leader's key; a successor follows this long after a leader's sudden end.
@@ -190,6 +190,6 @@
     shared.note_store("commit", &outcome);
     if let Ok(Outcome::Done(revision)) = outcome {
         *shared.leader_name.write() = Some(name);
-        leader::lead(shared, lease, revision, asked + ttl, ttl, cancel).await;
+        lead(shared, lease, revision, asked + ttl, ttl, cancel).await;
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,7 +1,7 @@
 //! The daemon of an entry VM on a platform: answers callers, and leads while it holds the lease.
 //!
-//! A job's way: `front` decodes the caller's request, `jobs` stores it, `leader` learns of it by
-//! its watch, `scheduler::plan` assigns its tasks, `committer` writes the record, `pump` sends the
+//! A job's way: `front` decodes the caller's request, `jobs` stores it, `watches` shows it to
+//! the leader, `scheduler::plan` assigns its tasks, `committer` writes the record, `pump` sends the
 //! starts, and `holds` reads the ends.
 
 mod clock;
@@ -21,6 +21,9 @@
 mod pump;
 mod settings;
 mod shared;
+mod term;
+mod upkeep;
+mod watches;
 
 pub use clock::{Clock, boot_clock};
 pub use daemon::EntryDaemon;
--- /dev/null
+++ b/src/entry/watches.rs
@@ -0,0 +1,71 @@
+//! What a leader learns of jobs and workers from the store.
+
+use std::time::Duration;
+
+use super::config_watch::{RETRY_PAUSE, WATCH_WAIT};
+use super::keys::INTAKE;
+use super::leader::Leader;
+use super::load::{apply_intake, apply_worker, load_workers, reload_intake};
+use super::ports::{Change, News};
+use crate::prelude::*;
+
+/// Pause between two watches of the workers, whose heartbeats change many entries a second; a
+/// drain must be known within 2 s.
+const WORKERS_GATHER: Duration = Duration::from_millis(350);
+
+pub(super) async fn watch_intake(leader: Arc<Leader>, mut after: u64) {
+    let shared = &leader.shared;
+    loop {
+        let watch = shared.store.watch(INTAKE, after, WATCH_WAIT).await;
+        shared.note_store("watch", &watch);
+        match watch {
+            Ok(News::Changes(changes, at)) => {
+                after = at;
+                if changes.is_empty() {
+                    continue;
+                }
+                let wall = shared.clock.wall();
+                leader.change(|sched, now| {
+                    for change in &changes {
+                        if let Change::Put(item) = change {
+                            apply_intake(sched, item, None, now, wall);
+                        }
+                    }
+                });
+            }
+            Ok(News::Lost) => match reload_intake(&leader).await {
+                Some(at) => after = at,
+                None => tokio::time::sleep(RETRY_PAUSE).await,
+            },
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+pub(super) async fn watch_workers(leader: Arc<Leader>, mut after: u64) {
+    let shared = &leader.shared;
+    let prefix = shared.dialect.workers_prefix().to_string();
+    loop {
+        let watch = shared.store.watch(&prefix, after, WATCH_WAIT).await;
+        shared.note_store("watch", &watch);
+        match watch {
+            Ok(News::Changes(changes, at)) => {
+                after = at;
+                if changes.is_empty() {
+                    continue;
+                }
+                leader.change(|sched, now| {
+                    for change in &changes {
+                        apply_worker(shared, sched, change, now);
+                    }
+                });
+                tokio::time::sleep(WORKERS_GATHER).await;
+            }
+            Ok(News::Lost) => match load_workers(&leader).await {
+                Some(at) => after = at,
+                None => tokio::time::sleep(RETRY_PAUSE).await,
+            },
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 
 mod advice;
 mod blame;
+mod choose;
 mod commit;
 mod entries;
 mod hold;
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -1,6 +1,6 @@
 //! Makes room for urgent tasks by ending less urgent runs.
 
-use super::plan::Ask;
+use super::choose::Ask;
 use super::round::Round;
 use super::worker::{Run, RunState};
 use super::{Scheduler, TaskKey, Worker};
