Stop runs that the next life of a worker may have taken over

A start's answer was lost, its repeat was carried out by the next life of the worker under the same id and answered 0.2 ms before the leader learned of that life; the run counted as placed on the old life and was freed and started elsewhere.

Change: when a worker begins a new life, a run that no list of the old one has shown, or of which a start was not answered, is stopped on the new life and freed once its list shows it absent.

--- a/src/scheduler/entries.rs
+++ b/src/scheduler/entries.rs
@@ -70,15 +70,16 @@
         worker.misses = 0;
         let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
         let mut freed = Vec::new();
+        let mut stops = Vec::new();
         for key in keys {
             let Some(run) = worker.runs.get_mut(&key) else {
                 continue;
             };
-            // An unanswered start may still be carried out by the new life.
-            if matches!(run.state, RunState::Sent) && run.calling {
+            if run.may_outlive() {
                 run.state = RunState::Stopping;
                 run.settled = None;
-                run.called = now;
+                run.listed = false;
+                stops.push(key);
                 continue;
             }
             let number = run.run;
@@ -99,6 +100,9 @@
         for (key, number) in freed {
             self.free_task(&key, &place, number);
         }
+        for key in stops {
+            self.call_stop(id, &key, now);
+        }
         self.replan = true;
     }
 }
--- a/src/scheduler/intake.rs
+++ b/src/scheduler/intake.rs
@@ -171,6 +171,7 @@
         if let Some(run) = worker.runs.get_mut(&row.task)
             && run.run == row.run
         {
+            run.listed = true;
             if run.state == RunState::Sent {
                 run.state = RunState::Placed;
                 run.settled = Some(now);
@@ -270,6 +271,7 @@
             }
             StartAnswer::Ended => self.worker_ended(id),
             StartAnswer::Unknown => {
+                run.doubtful = true;
                 worker.misses = worker.misses.max(MISSES_TO_DOUBT);
             }
             // An earlier copy of this start may have been carried out, so the list decides.
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -58,6 +58,10 @@
     pub settled: Option<Millis>,
     pub called: Millis,
     pub calling: bool,
+    /// A list of this life of the worker has shown it.
+    pub listed: bool,
+    /// A start was not answered; a copy of it may still arrive.
+    pub doubtful: bool,
     pub started: Millis,
     pub percent: u32,
     pub moved: Millis,
@@ -69,6 +73,12 @@
 }
 
 impl Run {
+    /// Tells whether a next life of the worker may have carried out the start, or may yet do so.
+    pub fn may_outlive(&self) -> bool {
+        let planned = matches!(self.state, RunState::Planned { .. });
+        !planned && (!self.listed || self.calling || self.doubtful)
+    }
+
     /// A run of which nothing but its size is known.
     pub fn new(run: u32, room: Resources, cpu: Millicores, now: Millis) -> Self {
         Self {
@@ -85,6 +95,8 @@
             settled: None,
             called: now,
             calling: false,
+            listed: false,
+            doubtful: false,
             started: now,
             percent: 0,
             moved: now,
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -456,3 +456,36 @@
     assert!(starts(&orders).is_empty(), "{orders:?}");
     assert_eq!(stops(&orders).len(), 1, "the unanswered start is stopped");
 }
+
+/// Guards against a task that runs twice because the next life of its worker has carried out the
+/// start, and the answer came before the leader knew of that life (soak seed 308).
+#[test]
+fn a_start_that_the_next_life_may_have_carried_out_is_stopped_there() {
+    let mut sched = leader(Millis(0));
+    join(&mut sched, entry(1, 1, 8000, 8000), Millis(0));
+    join(&mut sched, entry(2, 1, 1000, 1000), Millis(0));
+    submit(
+        &mut sched,
+        "a",
+        job("urgent", vec![step(1, 1000, 1000)]),
+        Millis(0),
+    );
+    let start = starts(&settle(&mut sched, 1, Millis(0))).remove(0);
+    answer(&mut sched, &start, StartAnswer::Started, Millis(5));
+
+    let at = if start.worker == worker_id(1) { 1 } else { 2 };
+    sched.set_entry(entry(at, 2, 8000, 8000), Millis(10));
+    let orders = settle(&mut sched, 2, Millis(10));
+    let stop = stops(&orders);
+    let early = starts(&orders);
+    for stop in &stop {
+        sched.stop_answered(&stop.worker, &stop.task, stop.run, true, Millis(15));
+    }
+    report(&mut sched, &start.worker, 2, Millis(20), Report::default());
+    let later = starts(&settle(&mut sched, 3, Millis(30)));
+
+    assert!(early.is_empty(), "{early:?}");
+    assert_eq!(stop.len(), 1);
+    assert_eq!(later.len(), 1);
+    assert_eq!(later[0].run, start.run + 1);
+}
