Place the jobs that have come furthest first, whatever their size

Cause: on the worst load the order by estimated work per value put the largest jobs last as long as smaller ones arrived, and a job that had missed its objective waited behind every fresh one although part of its tasks were done. Long-running tasks of the same priority went before short urgent jobs, took each CPU that one freed and kept it: they held 4,400 to 4,700 of 4,930 cores while 60 quotes waited (log line "queue load").

Change: scheduler/order.rs, a plain function. Within a priority, finite jobs go by the share of their work that is left, then by objective; long-running ones follow; jobs without value go last. The model of mean work per queue is gone. The leader logs once a second what each queue holds and how long it waits.

The port of an entry process is reserved until the process listens on it (dev/reserved_port.rs). A released port that another process takes explains what the known red process test showed, but it was not reproduced. The test now fails at once with the log of a process that exits.

--- a/src/dev/installation.rs
+++ b/src/dev/installation.rs
@@ -1,6 +1,5 @@
 //! A whole site on loopback: the platform's stand-ins, operators and entry processes.
 
-use std::net::TcpListener;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,10 +8,11 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use parking_lot::Mutex;
 use serde_json::Value;
 use tokio::time::Instant;
 
-use super::{DevInstance, DevOperators, DevPlatform, Site, id};
+use super::{DevInstance, DevOperators, DevPlatform, ReservedPort, Site, id};
 use crate::admin::ADMIN_PREFIX;
 use crate::prelude::*;
 use crate::schema::settings::{
@@ -37,6 +37,8 @@
     /// The entry processes.
     pub entries: Vec<DevInstance>,
     started: usize,
+    /// Ports of the settings that were given out; held so that no other process gets them.
+    ports: Mutex<Vec<ReservedPort>>,
 }
 
 impl Installation {
@@ -55,6 +57,7 @@
             operators,
             entries: Vec::new(),
             started: 0,
+            ports: Mutex::default(),
         };
         for _ in 0..entries {
             installation.add_entry().await?;
@@ -83,9 +86,9 @@
                 rack: id(&format!("entry-rack-{}", number % zones.len())),
             },
             listen: ListenSettings {
-                callers: free_address()?,
-                peers: free_address()?,
-                admin: free_address()?,
+                callers: self.reserve_address()?,
+                peers: self.reserve_address()?,
+                admin: self.reserve_address()?,
             },
             platform: PlatformSettings {
                 store: Address(self.platform.kv_addr),
@@ -101,6 +104,13 @@
         })
     }
 
+    fn reserve_address(&self) -> Result<Address, DevError> {
+        let port = ReservedPort::new()?;
+        let address = Address(port.addr());
+        self.ports.lock().push(port);
+        Ok(address)
+    }
+
     /// Waits until every entry process is an active member with a bundle.
     pub async fn until_ready(&self) -> Result<(), DevError> {
         let deadline = Instant::now() + START_TIMEOUT;
@@ -208,9 +218,3 @@
         lines.join("\n")
     }
 }
-
-/// Finds an address that is free at this moment.
-fn free_address() -> Result<Address, DevError> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    Ok(Address(listener.local_addr()?))
-}
--- a/src/dev/mod.rs
+++ b/src/dev/mod.rs
@@ -7,6 +7,7 @@
 mod operators;
 mod platform;
 mod promise;
+mod reserved_port;
 mod scenario;
 mod site;
 mod verify;
@@ -18,6 +19,7 @@
 pub use operators::DevOperators;
 pub use platform::{DevPlatform, DevWorker};
 pub use promise::Promise;
+pub use reserved_port::ReservedPort;
 pub use site::Site;
 pub use verify::{verify_leaving, verify_limits, verify_requests, verify_tasks};
 
--- a/src/entry/maintenance.rs
+++ b/src/entry/maintenance.rs
@@ -21,6 +21,9 @@
 /// Time between two writes of the interference estimates, some 30 KB each.
 const SAVE_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Time between two log lines on the load of a queue.
+const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Timeout of a write of this module; a slow store answers within about 250 ms.
 const WRITE_TIMEOUT: Millis = Millis(500);
 
@@ -73,6 +76,27 @@
     }
 }
 
+/// Logs once a second what each queue holds of the fleet and how long its jobs wait.
+pub(super) async fn log_queue_loads(leader: Arc<Leader>) {
+    loop {
+        tokio::time::sleep(LOAD_LOG_INTERVAL).await;
+        let now = leader.shared.clock.now();
+        let (loads, free) = leader.sched.lock().queue_loads(now);
+        for (queue, load) in loads {
+            tracing::info!(
+                queue,
+                waiting = load.waiting_jobs,
+                idle_ms = load.longest_idle.0,
+                runs = load.runs,
+                reserved = load.reserved.0,
+                best_effort = load.best_effort.0,
+                free = free.0,
+                "queue load"
+            );
+        }
+    }
+}
+
 /// Ticks the scheduler and updates the gauges of its state.
 pub(super) async fn tick(leader: Arc<Leader>) {
     loop {
--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -11,7 +11,7 @@
 use super::keys::LEADER;
 use super::leader::Leader;
 use super::load::load_state;
-use super::maintenance::{remove_outdated_jobs, save_interference, tick};
+use super::maintenance::{log_queue_loads, remove_outdated_jobs, save_interference, tick};
 use super::ports::{Change, TxnOutcome, WatchResponse};
 use super::shared::Shared;
 use super::watches::{watch_intake, watch_workers};
@@ -67,6 +67,7 @@
         tasks.spawn(watch_intake(leader.clone(), intake_at));
         tasks.spawn(watch_workers(leader.clone(), workers_at));
         tasks.spawn(tick(leader.clone()));
+        tasks.spawn(log_queue_loads(leader.clone()));
         tasks.spawn(run_planner(leader.clone()));
         tasks.spawn(save_interference(leader.clone()));
         tasks.spawn(remove_outdated_jobs(leader.clone()));
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -228,36 +228,13 @@
     }
 
     /// Returns whether a task can be assigned.
-    fn has_open_tasks(&self, now: Millis) -> bool {
+    pub(super) fn has_open_tasks(&self, now: Millis) -> bool {
         let instances = self.instances.iter().enumerate();
         instances
             .filter(|(_, instance)| instance.has_open_tasks())
             .any(|(at, _)| self.is_ready(at, now))
     }
 
-    /// Returns the longest chain of estimated work through the steps that are not done.
-    pub(super) fn remaining_critical_path(&self) -> Millis {
-        let mut ends = vec![Millis::ZERO; self.instances.len()];
-        let steps = self.spec.steps.len();
-        for (i, instance) in self.instances.iter().enumerate() {
-            let step = self.step(i);
-            let base = i / steps * steps;
-            let begin = step
-                .after
-                .iter()
-                .map(|&before| ends[base + before as usize])
-                .max()
-                .unwrap_or_default();
-            let own = if instance.done == instance.tasks.len() {
-                Millis::ZERO
-            } else {
-                step.estimate
-            };
-            ends[i] = begin + own;
-        }
-        ends.into_iter().max().unwrap_or_default()
-    }
-
     /// Returns the estimated work of all tasks and of those that are not done, in core-seconds.
     pub(super) fn work(&self) -> (f64, f64) {
         let mut total = 0.0;
@@ -277,6 +254,11 @@
             .all(|instance| instance.done == instance.tasks.len())
     }
 
+    /// Returns whether the job has tasks that run until it is cancelled.
+    pub(super) fn is_long_running(&self) -> bool {
+        self.spec.steps.iter().any(|step| step.long_running)
+    }
+
     pub(super) fn is_active(&self) -> bool {
         self.phase == Phase::Active
     }
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use super::order::{Rank, WaitingJob, rank};
 use super::round::Round;
 use super::selection::PlacementRequest;
 use super::state::new_run;
@@ -24,15 +25,6 @@
 /// as lost only below half of it.
 const SPARE_PERMILLE: u64 = 700;
 
-/// A job has no value left once this multiple of its objective has passed.
-const WORTHLESS_FACTOR: u64 = 3;
-
-/// Share of a mean job's value that each job has regardless of its size, as the users weigh jobs.
-const FIXED_VALUE_SHARE: f64 = 0.3;
-
-/// Rank of a waiting job: priority, lateness, cost per value and objective; the lowest goes first.
-type Rank = (u32, u8, u64, Millis);
-
 impl Scheduler {
     /// Assigns ready tasks to workers and returns their number; the starts follow once the records
     /// are durable.
@@ -93,42 +85,17 @@
 
     fn rank(&self, job: &Job, round: &Round, now: Millis) -> Option<Rank> {
         let queue = self.queues.queues.get(&job.spec.queue)?;
-        if round.is_overdue(job) {
-            return Some((0, 0, 0, job.objective_at));
-        }
-        // A long-running task that fits somewhere must not wait, however long the queue is.
-        if job.spec.steps.iter().any(|step| step.long_running) {
-            return Some((queue.priority, 0, 0, job.objective_at));
-        }
-        let worthless_at = job.objective_at
-            + job
-                .objective_span
-                .scale_permille((WORTHLESS_FACTOR - 1) * 1000);
-        let lateness = if now > worthless_at {
-            2
-        } else {
-            u8::from(now + job.remaining_critical_path() > job.objective_at)
+        let (work, work_left) = job.work();
+        let waiting = WaitingJob {
+            priority: queue.priority,
+            long_running: job.is_long_running(),
+            overdue: round.is_overdue(job),
+            objective_at: job.objective_at,
+            objective_span: job.objective_span,
+            work,
+            work_left,
         };
-        Some((
-            queue.priority,
-            lateness,
-            self.cost_per_value(job),
-            job.objective_at,
-        ))
-    }
-
-    /// Returns the remaining work per value of the job, in thousandths. Under overload, the jobs
-    /// with the least work for their value go first. A part of the value does not depend on the
-    /// size of the job.
-    fn cost_per_value(&self, job: &Job) -> u64 {
-        let (work, left) = job.work();
-        let mean = self.mean_work.get(&job.spec.queue).copied().unwrap_or(work);
-        let value = FIXED_VALUE_SHARE * mean + (1.0 - FIXED_VALUE_SHARE) * work;
-        if value > 0.0 {
-            (left * 1000.0 / value) as u64
-        } else {
-            0
-        }
+        Some(rank(&waiting, now))
     }
 
     fn plan_job(&mut self, id: &JobId, round: &mut Round, now: Millis) -> usize {
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -25,9 +25,6 @@
     pub violation_after: Millis,
 }
 
-/// Weight of a new job in the mean work of its queue; about 20 jobs count.
-const MEAN_WORK_GAIN: f64 = 0.05;
-
 /// Tolerance for the rate of a worker's clock, in thousandths.
 pub(super) const CLOCK_DRIFT_PERMILLE: u64 = 25;
 
@@ -46,8 +43,6 @@
     pub(super) dirty: BTreeSet<JobId>,
     /// Jobs that have not ended.
     pub(super) active: BTreeSet<JobId>,
-    /// Mean work of the jobs of each queue, in core-seconds.
-    pub(super) mean_work: HashMap<String, f64>,
     pub(super) interference: Interference,
     pub(super) advice: HashMap<StepKey, Advice>,
     /// Something has changed since the last round of planning.
@@ -70,7 +65,6 @@
             commands: Vec::new(),
             dirty: BTreeSet::new(),
             active: BTreeSet::new(),
-            mean_work: HashMap::new(),
             interference: Interference::default(),
             advice: HashMap::new(),
             replan: true,
@@ -107,9 +101,6 @@
             Some(queue) => queue.objective(job.spec.critical_path()),
             None => job.spec.critical_path().scale_permille(1500),
         };
-        let (work, _) = job.work();
-        let mean = self.mean_work.entry(job.spec.queue.clone()).or_insert(work);
-        *mean += MEAN_WORK_GAIN * (work - *mean);
         let age = Millis(wall.0.saturating_sub(job.spec.submitted.0));
         job.objective_at = (now + job.objective_span) - age.min(now);
         if let Some((record, revision)) = &record
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -1,11 +1,12 @@
 //! End-to-end test of separate entry processes with a killed one and a graceful shutdown.
 
 use std::fs;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use sapphirecroft::dev::{Answer, Ask, Installation, LoadClient, Reported, Site};
+use sapphirecroft::dev::{Answer, Ask, Installation, LoadClient, Reported, ReservedPort, Site};
 use sapphirecroft::prelude::*;
 use sapphirecroft::schema::settings::Settings;
 use sapphirecroft::settings::render_settings;
@@ -36,7 +37,9 @@
         let child = Command::new(env!("CARGO_BIN_EXE_sapphirecroft"))
             .args(["serve", "--settings"])
             .arg(&file)
-            .stderr(Stdio::null())
+            .stderr(Stdio::from(
+                fs::File::create(file.with_extension("log")).expect("log file"),
+            ))
             .spawn()
             .expect("process starts");
         Self {
@@ -50,6 +53,14 @@
         self.settings.listen.callers.to_string()
     }
 
+    /// Panics with the log of the process if it has exited.
+    fn assert_running(&mut self) {
+        if let Some(status) = self.child.try_wait().expect("process is observed") {
+            let log = fs::read_to_string(self.file.with_extension("log")).unwrap_or_default();
+            panic!("entry process has exited with {status}: {log}");
+        }
+    }
+
     fn terminate(&self) {
         let pid = self.child.id().to_string();
         let sent = Command::new("kill").args(["-TERM", &pid]).status();
@@ -62,6 +73,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = fs::remove_file(&self.file);
+        let _ = fs::remove_file(self.file.with_extension("log"));
     }
 }
 
@@ -79,11 +91,13 @@
 }
 
 /// Sends requests until `count` of them in a row get complete responses.
-async fn wait_until_served(addr: &str, count: usize) {
+async fn wait_until_served(entry: &mut Entry, count: usize) {
+    let addr = &entry.addr();
     let client = LoadClient::new();
     let deadline = Instant::now() + WAIT_TIMEOUT;
     let mut served = 0;
     while served < count {
+        entry.assert_running();
         assert!(Instant::now() < deadline, "{addr} does not serve requests");
         let answer = client
             .send(addr, ask(format!("probe-{served}"), 2, 500))
@@ -131,6 +145,25 @@
     }
 }
 
+/// Guards against an entry process that loses its port to another process between the choice of the
+/// port and its own bind, and then never serves.
+#[test]
+fn a_reserved_port_is_given_to_no_other_process() {
+    let ports: Vec<ReservedPort> = (0..200).map(|_| reserve()).collect();
+
+    let taken: Vec<SocketAddr> = (0..2000)
+        .filter_map(|_| Some(TcpListener::bind("127.0.0.1:0").ok()?.local_addr().ok()?))
+        .collect();
+    let own = TcpListener::bind(ports[0].addr());
+
+    assert!(ports.iter().all(|port| !taken.contains(&port.addr())));
+    assert!(own.is_ok(), "{own:?}");
+}
+
+fn reserve() -> ReservedPort {
+    ReservedPort::new().expect("port is free")
+}
+
 /// Guards against functions that work only if all members share one process: requests, the bundle
 /// from the store, batch tasks, takeover after a kill, and shutdown with requests in flight.
 #[tokio::test(flavor = "multi_thread")]
@@ -142,13 +175,13 @@
     let settings = (1..=3).map(|number| installation.settings(number).expect("ports are free"));
     let mut entries: Vec<Entry> = settings.map(Entry::start).collect();
 
-    for entry in &entries {
-        wait_until_served(&entry.addr(), 10).await;
+    for entry in &mut entries {
+        wait_until_served(entry, 10).await;
     }
     run_job(&installation, &entries[0], "before", 6).await;
 
     drop(entries.remove(0));
-    wait_until_served(&entries[0].addr(), 20).await;
+    wait_until_served(&mut entries[0], 20).await;
     run_job(&installation, &entries[0], "after-a-kill", 6).await;
 
     let mut leaving = entries.remove(0);
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -4,7 +4,8 @@
 
 use sapphirecroft::prelude::*;
 use sapphirecroft::scheduler::{
-    JobView, RunCompletion, RunOutcome, RunStatus, StartResponse, TaskKey, WorkerReport,
+    JobSpec, JobView, RunCompletion, RunOutcome, RunStatus, Scheduler, StartResponse, TaskKey,
+    WorkerReport,
 };
 use scheduler_support::*;
 
@@ -519,3 +520,80 @@
     assert_eq!(later.len(), 1);
     assert_eq!(later[0].run, start.run + 1);
 }
+
+/// Plans and commits; returns the started runs after the worker has confirmed them.
+fn start_all(sched: &mut Scheduler, revision: u64, now: Millis) -> Vec<(TaskKey, u32)> {
+    let started = starts(&plan_and_commit(sched, revision, now));
+    for start in &started {
+        respond(sched, start, StartResponse::Started, now);
+    }
+    started
+        .into_iter()
+        .map(|start| (start.task, start.run))
+        .collect()
+}
+
+/// Runs a queue on one worker with room for two tasks of a second beside a long-running one: first a
+/// wide job, then two narrow jobs a second, which alone fill the room. Returns the wide job's state.
+fn wide_job_beside_a_stream_of_narrow_ones(seconds: u64) -> Option<JobView> {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 10_000, 64_000), Millis(0));
+    let mut base = step(1, 8000, 100);
+    base.long_running = true;
+    submit(&mut sched, "base", job("urgent", vec![base]), Millis(0));
+    let base_runs = start_all(&mut sched, 1, Millis(0));
+    let wide = job("patient", vec![step(6, 1000, 100)]);
+    submit(&mut sched, "wide", wide, Millis(0));
+    let mut finite_runs: Vec<(TaskKey, u32)> = Vec::new();
+    let mut sequence = 0;
+    for second in 1..=seconds {
+        let now = Millis(second * 1000);
+        let mut report = WorkerReport::default();
+        for (task, run) in &base_runs {
+            report.running.push(running_status(task, *run));
+        }
+        for (task, run) in finite_runs.drain(..) {
+            sequence += 1;
+            let end = completion(sequence, &task, run, RunOutcome::Done);
+            report.ended.push(end);
+        }
+        deliver_report(&mut sched, &worker_id(1), 1, now, report);
+        for at in 0..2 {
+            let narrow = JobSpec {
+                submitted: Timestamp(now.0),
+                ..job("patient", vec![step(1, 1000, 100)])
+            };
+            submit(&mut sched, &format!("n{second}-{at}"), narrow, now);
+        }
+        finite_runs = start_all(&mut sched, second + 1, now);
+    }
+    sched.view(&id("wide"))
+}
+
+/// Guards against an order by size, under which the largest jobs never end while smaller ones keep
+/// arriving at the rate of the fleet. The objective is 3 s, so a late result has value until 9 s.
+#[test]
+fn a_wide_job_ends_beside_a_stream_of_narrow_ones() {
+    let state = wide_job_beside_a_stream_of_narrow_ones(9);
+
+    assert_eq!(state, Some(JobView::Completed));
+}
+
+/// Guards against long-running tasks that take each place that a short urgent task frees, until
+/// none is left for short tasks.
+#[test]
+fn a_short_urgent_job_goes_before_a_long_running_one() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 1000, 8000), Millis(0));
+    let mut long_running_step = step(1, 1000, 1000);
+    long_running_step.long_running = true;
+    let long_running = job("urgent", vec![long_running_step]);
+    submit(&mut sched, "long", long_running, Millis(0));
+    let short = job("urgent", vec![step(1, 1000, 1000)]);
+    submit(&mut sched, "short", short, Millis(0));
+
+    let started = starts(&plan_and_commit(&mut sched, 1, Millis(10)));
+
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].task.job, id("short"));
+}
