--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -152,7 +152,7 @@
     let ports: Vec<ReservedPort> = (0..200).map(|_| reserve()).collect();
 
     let taken: Vec<SocketAddr> = (0..2000)
-        .filter_map(|_| Some(TcpListener::bind("127.0.0.1:0").ok()?.local_addr().ok()?))
+        .filter_map(|_| TcpListener::bind("127.0.0.1:0").ok()?.local_addr().ok())
         .collect();
     let own = TcpListener::bind(ports[0].addr());
 
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -597,3 +597,28 @@
     assert_eq!(started.len(), 1);
     assert_eq!(started[0].task.job, id("short"));
 }
+
+/// Guards against a long-running task that fails and stays away for tens of seconds, because each
+/// freed place goes to a short urgent job.
+#[test]
+fn a_failed_long_running_task_returns_before_a_short_urgent_job() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 1000, 8000), Millis(0));
+    let mut long_running_step = step(1, 1000, 1000);
+    long_running_step.long_running = true;
+    let long_running = job("urgent", vec![long_running_step]);
+    submit(&mut sched, "long", long_running, Millis(0));
+    let (task, run) = start_all(&mut sched, 1, Millis(0)).remove(0);
+    let short = job("urgent", vec![step(1, 1000, 1000)]);
+    submit(&mut sched, "short", short, Millis(10));
+    let report = WorkerReport {
+        ended: vec![completion(1, &task, run, RunOutcome::Failed)],
+        ..WorkerReport::default()
+    };
+
+    deliver_report(&mut sched, &worker_id(1), 1, Millis(1000), report);
+    let started = starts(&plan_and_commit(&mut sched, 2, Millis(1000)));
+
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].task.job, id("long"));
+}
