--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -259,15 +259,6 @@
         self.spec.steps.iter().any(|step| step.long_running)
     }
 
-    /// Returns whether a long-running task has had a run and has none now.
-    pub(super) fn needs_restart(&self) -> bool {
-        let instances = self.instances.iter().enumerate();
-        instances
-            .filter(|(at, _)| self.step(*at).long_running)
-            .flat_map(|(_, instance)| &instance.tasks)
-            .any(|task| task.run > 0 && task.place.is_none())
-    }
-
     pub(super) fn is_active(&self) -> bool {
         self.phase == Phase::Active
     }
--- a/src/scheduler/order.rs
+++ b/src/scheduler/order.rs
@@ -2,9 +2,9 @@
 //!
 //! Load pattern: more work arrives than the fleet can do, so jobs wait for a multiple of their
 //! length. Jobs that have come furthest go first, whatever their size: a fleet that begins every
-//! job and ends few of them is late with all, and an order by size starves the largest ones. Urgent
-//! jobs of about a second go before new long-running tasks of the same priority, which keep their
-//! place for a minute; a long-running task whose run has ended returns first, so that it keeps going.
+//! job and ends few of them is late with all, and an order by size starves the largest ones.
+//! Long-running tasks go before the finite jobs of their priority: behind them they do not return
+//! for tens of seconds after a failure, because each freed place goes to a finite task.
 
 use crate::prelude::*;
 
@@ -18,8 +18,6 @@
     pub priority: u32,
     /// The job has tasks that run until it is cancelled.
     pub long_running: bool,
-    /// A run of one of those tasks has ended and must be replaced.
-    pub needs_restart: bool,
     /// The job has waited for too long although capacity is free.
     pub overdue: bool,
     pub objective_at: Millis,
@@ -34,12 +32,10 @@
 /// Group of waiting jobs of one priority, in the order of placement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Group {
-    /// A long-running task has lost its run.
-    Restart,
-    /// A result still has value, in time or late.
-    Finite,
     /// The tasks run until the job is cancelled.
     LongRunning,
+    /// A result still has value, in time or late.
+    Finite,
     /// A result has no value any more.
     Worthless,
 }
@@ -58,9 +54,7 @@
 /// Returns the place of a waiting job in the order.
 pub(super) fn rank(job: &WaitingJob, now: Millis) -> Rank {
     let (priority, group, left_permille) = if job.overdue {
-        (None, Group::Finite, 0)
-    } else if job.needs_restart {
-        (Some(job.priority), Group::Restart, 0)
+        (None, Group::LongRunning, 0)
     } else if job.long_running {
         (Some(job.priority), Group::LongRunning, 0)
     } else if now > worthless_at(job) {
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -89,7 +89,6 @@
         let waiting = WaitingJob {
             priority: queue.priority,
             long_running: job.is_long_running(),
-            needs_restart: job.needs_restart(),
             overdue: round.is_overdue(job),
             objective_at: job.objective_at,
             objective_span: job.objective_span,
