Log how long starts and records wait, and ends of long-running runs

Cause: no line told whether a start waited for its job's record, and no line named the completion of a long-running task, so the hypotheses of the incident could not be told apart.

Change: 'start' has waited_ms, 'records wait to be written' tells backlog and oldest job once a second, 'long-running run ended' and 'completion of a run that is no longer current' name ends that count as no attempt, and sapphirecroft_record_seconds is a histogram from the change of a job to its durable record.

--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -38,7 +38,14 @@
         match outcome {
             Ok(TxnOutcome::Done(revision)) => {
                 let mut covered = Vec::new();
-                leader.update(|sched, now| covered = sched.on_commit(&batch, revision, now));
+                leader.update(|sched, now| {
+                    for write in &batch.writes {
+                        let wait = now.since(write.changed_at);
+                        let seconds = wait.0 as f64 / 1000.0;
+                        leader.shared.metrics.record_seconds.observe(seconds);
+                    }
+                    covered = sched.on_commit(&batch, revision, now);
+                });
                 for id in &covered {
                     leader.wake_poll(id);
                 }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -100,7 +100,7 @@
                         .starts
                         .with_label_values(&[label])
                         .inc();
-                    tracing::info!(task = %command.task, run = command.run, worker = %command.worker, answer = label, "start");
+                    tracing::info!(task = %command.task, run = command.run, worker = %command.worker, answer = label, waited_ms = command.waited.0, "start");
                     leader.update(|sched, now| {
                         sched.on_start_response(
                             &command.worker,
--- a/src/entry/maintenance.rs
+++ b/src/entry/maintenance.rs
@@ -24,6 +24,9 @@
 /// Time between two log lines on the load of a queue.
 const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Wait of a record from which it delays the starts of its job noticeably.
+const LONG_RECORD_WAIT: Millis = Millis(250);
+
 /// Timeout of a write of this module; a slow store answers within about 250 ms.
 const WRITE_TIMEOUT: Millis = Millis(500);
 
@@ -94,6 +97,17 @@
                 "queue load"
             );
         }
+        log_record_backlog(&leader, now);
+    }
+}
+
+/// Logs the number of records that wait to be written, if one has waited for too long.
+fn log_record_backlog(leader: &Leader, now: Millis) {
+    let sched = leader.sched.lock();
+    if let Some((waiting, oldest, wait)) = sched.record_backlog(now)
+        && wait >= LONG_RECORD_WAIT
+    {
+        tracing::warn!(waiting, job = %oldest, wait_ms = wait.0, "records wait to be written");
     }
 }
 
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of the daemon.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -19,6 +19,8 @@
     pub store_calls: IntCounterVec,
     /// Start commands by the worker's response.
     pub starts: IntCounterVec,
+    /// Time from the change of a job to its durable record.
+    pub record_seconds: Histogram,
     /// Times that this process became leader.
     pub leaderships: IntCounter,
     /// Number of jobs, workers and runs that the leader knows.
@@ -55,6 +57,13 @@
                 .buckets(BUCKETS.to_vec()),
             &["verb"],
         )?;
+        let record_seconds = Histogram::with_opts(
+            HistogramOpts::new(
+                "sapphirecroft_record_seconds",
+                "Time from the change of a job to its durable record",
+            )
+            .buckets(BUCKETS.to_vec()),
+        )?;
         let leaderships = IntCounter::new(
             "sapphirecroft_leaderships_total",
             "Times that this process became leader",
@@ -68,6 +77,7 @@
             "Version of the configuration in force",
         )?;
         registry.register(Box::new(request_seconds.clone()))?;
+        registry.register(Box::new(record_seconds.clone()))?;
         registry.register(Box::new(leaderships.clone()))?;
         registry.register(Box::new(known.clone()))?;
         registry.register(Box::new(config_version.clone()))?;
@@ -77,6 +87,7 @@
             request_seconds,
             store_calls,
             starts,
+            record_seconds,
             leaderships,
             known,
             config_version,
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -62,7 +62,7 @@
                 }
             }
             Err(PollError::OtherIncarnation) => {
-                leader.update(|sched, _| sched.mark_worker_dead(&id))
+                leader.update(|sched, now| sched.mark_worker_dead(&id, now))
             }
             Err(PollError::Failed(err)) => {
                 leader.update(|sched, _| sched.on_poll_failure(&id, &err.to_string()));
--- a/src/scheduler/command.rs
+++ b/src/scheduler/command.rs
@@ -42,6 +42,8 @@
     pub checkpoint: String,
     /// Ticket of the advice service; empty if the queue needs none.
     pub ticket: String,
+    /// Time from the assignment of the run, or from its last call, to this command.
+    pub waited: Millis,
 }
 
 /// Command to stop a run on a worker.
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -26,22 +26,20 @@
     pub revision: u64,
     /// Version of the job that the record holds.
     pub version: u64,
+    /// Time of the first change that the record holds and its predecessor does not.
+    pub changed_at: Millis,
     phase: Phase,
 }
 
 impl Scheduler {
     /// Returns the next records to write; a job has at most one write in flight.
     pub fn next_batch(&mut self) -> Option<Batch> {
-        let ids: Vec<JobId> = self
-            .dirty
-            .iter()
-            .filter(|id| self.jobs.get(id).is_some_and(|job| !job.write_in_flight))
-            .take(BATCH_RECORDS)
-            .cloned()
-            .collect();
+        let jobs = &self.jobs;
+        let taken = self.dirty.take(BATCH_RECORDS, |id| {
+            jobs.get(id).is_some_and(|job| !job.write_in_flight)
+        });
         let mut writes = Vec::new();
-        for id in ids {
-            self.dirty.remove(&id);
+        for (id, changed_at) in taken {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
@@ -58,6 +56,7 @@
                 value,
                 revision: job.revision,
                 version: job.version,
+                changed_at,
                 phase: job.phase,
             });
         }
@@ -97,7 +96,7 @@
         for write in &batch.writes {
             if let Some(job) = self.jobs.get_mut(&write.job) {
                 job.write_in_flight = false;
-                self.dirty.insert(write.job.clone());
+                self.dirty.insert(&write.job, write.changed_at);
             }
         }
     }
@@ -180,6 +179,7 @@
         };
         worker.lease_end = worker.lease_end.max(deadline);
         run.state = RunState::Sent;
+        let waited = now.since(run.called_at);
         run.called_at = now;
         run.call_in_flight = true;
         if !is_retry {
@@ -202,6 +202,7 @@
             fence: self.fence,
             checkpoint,
             ticket,
+            waited,
         }));
     }
 
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -17,6 +17,7 @@
 mod queue;
 mod queue_load;
 mod record;
+mod record_queue;
 mod report;
 mod round;
 mod selection;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -113,7 +113,7 @@
         }
         if assigned > 0 {
             job.version += 1;
-            self.dirty.insert(id.clone());
+            self.dirty.insert(id, now);
         }
         self.jobs.insert(id.clone(), job);
         assigned
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -4,6 +4,7 @@
 
 use super::advice::{Advice, StepKey};
 use super::interference::Interference;
+use super::record_queue::RecordQueue;
 use super::worker::{Run, RunState};
 use super::{
     Command, Job, JobRecord, JobSpec, JobView, Phase, Placement, QueueTable, StopCommand, TaskKey,
@@ -40,7 +41,7 @@
     pub(super) new_workers: Vec<WorkerId>,
     pub(super) commands: Vec<Command>,
     /// Jobs whose records have to be written.
-    pub(super) dirty: BTreeSet<JobId>,
+    pub(super) dirty: RecordQueue,
     /// Jobs that have not ended.
     pub(super) active: BTreeSet<JobId>,
     pub(super) interference: Interference,
@@ -63,7 +64,7 @@
             queues,
             new_workers: Vec::new(),
             commands: Vec::new(),
-            dirty: BTreeSet::new(),
+            dirty: RecordQueue::default(),
             active: BTreeSet::new(),
             interference: Interference::default(),
             advice: HashMap::new(),
@@ -164,7 +165,7 @@
         job.phase = phase;
         job.ended = wall;
         job.version += 1;
-        self.dirty.insert(id.clone());
+        self.dirty.insert(id, now);
         self.active.remove(id);
         self.advice.retain(|(job, _), _| job != id);
         self.replan = true;
@@ -194,7 +195,7 @@
                 let number = run.run;
                 let place = found.placement();
                 found.remove_run(key);
-                self.release_task(key, &place, number);
+                self.release_task(key, &place, number, now);
             }
             RunState::Stopping => {}
             RunState::Sent | RunState::Running => {
@@ -206,13 +207,19 @@
     }
 
     /// Releases the task of a run that is gone; returns whether the record changed.
-    pub(super) fn release_task(&mut self, key: &TaskKey, place: &Placement, run: u32) -> bool {
+    pub(super) fn release_task(
+        &mut self,
+        key: &TaskKey,
+        place: &Placement,
+        run: u32,
+        now: Millis,
+    ) -> bool {
         let freed = self
             .jobs
             .get_mut(&key.job)
             .is_some_and(|job| job.clear_placement(key, place, run));
         if freed {
-            self.dirty.insert(key.job.clone());
+            self.dirty.insert(&key.job, now);
         }
         freed
     }
@@ -263,6 +270,13 @@
         !self.dirty.is_empty()
     }
 
+    /// Returns the number of jobs whose records have to be written, and the one that has waited
+    /// longest with its waiting time.
+    pub fn record_backlog(&self, now: Millis) -> Option<(usize, &JobId, Millis)> {
+        let (oldest, changed_at) = self.dirty.oldest()?;
+        Some((self.dirty.len(), oldest, now.since(changed_at)))
+    }
+
     /// Takes the commands that are ready to be sent.
     pub fn take_commands(&mut self) -> Vec<Command> {
         std::mem::take(&mut self.commands)
--- a/src/scheduler/tick.rs
+++ b/src/scheduler/tick.rs
@@ -46,20 +46,20 @@
             .map(|worker| worker.id.clone())
             .collect();
         for id in expired {
-            self.release_all_runs(&id, "lapsed");
+            self.release_all_runs(&id, "lapsed", now);
         }
     }
 
     /// Marks a worker as dead after another incarnation answered at its address.
-    pub fn mark_worker_dead(&mut self, id: &WorkerId) {
-        self.release_all_runs(id, "another incarnation answered");
+    pub fn mark_worker_dead(&mut self, id: &WorkerId, now: Millis) {
+        self.release_all_runs(id, "another incarnation answered", now);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.entry = None;
         }
     }
 
     /// Releases all runs of a worker whose end is certain.
-    fn release_all_runs(&mut self, id: &WorkerId, reason: &str) {
+    fn release_all_runs(&mut self, id: &WorkerId, reason: &str, now: Millis) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -75,7 +75,7 @@
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.remove_run(&key);
             }
-            self.release_task(&key, &place, run);
+            self.release_task(&key, &place, run, now);
         }
         self.replan = true;
     }
--- a/src/scheduler/worker_entries.rs
+++ b/src/scheduler/worker_entries.rs
@@ -95,11 +95,11 @@
             {
                 place.incarnation = incarnation;
                 job.version += 1;
-                self.dirty.insert(key.job.clone());
+                self.dirty.insert(&key.job, now);
             }
         }
         for (key, number) in freed {
-            self.release_task(&key, &place, number);
+            self.release_task(&key, &place, number, now);
         }
         for key in stops {
             self.send_stop(id, &key, now);
--- a/src/scheduler/worker_events.rs
+++ b/src/scheduler/worker_events.rs
@@ -57,7 +57,7 @@
             self.apply_run_status(id, status, now);
         }
         if report.ended.len() < MAX_REPORTED_COMPLETIONS {
-            self.release_absent_runs(id, requested_at, report);
+            self.release_absent_runs(id, requested_at, now, report);
         }
         self.acknowledge_completions(id);
         self.control_paces(id, now);
@@ -116,7 +116,7 @@
         if !job.is_active() {
             // The completion must be kept until the phase that supersedes it is durable.
             if job.clear_placement(key, placement, end.run) {
-                self.dirty.insert(key.job.clone());
+                self.dirty.insert(&key.job, now);
             }
             return job.version;
         }
@@ -125,6 +125,9 @@
         };
         let step = job.step(instance).clone();
         let current = job.clear_placement(key, placement, end.run);
+        if !current {
+            tracing::info!(task = %key, run = end.run, worker = %placement.worker, outcome = ?end.outcome, "completion of a run that is no longer current");
+        }
         job.started = true;
         if !end.checkpoint.is_empty() && (current || run.is_some()) {
             let index = key.index as usize;
@@ -135,7 +138,7 @@
             }
         }
         job.version += 1;
-        self.dirty.insert(key.job.clone());
+        self.dirty.insert(&key.job, now);
         match end.outcome {
             RunOutcome::Done if !step.long_running => {
                 let index = key.index as usize;
@@ -165,6 +168,9 @@
                     self.end_job(&key.job, Phase::Failed, now, wall);
                 }
             }
+            _ if step.long_running => {
+                tracing::info!(task = %key, run = end.run, worker = %placement.worker, outcome = ?end.outcome, "long-running run ended");
+            }
             _ => {}
         }
         self.jobs.get(&key.job).map_or(0, |job| job.version)
@@ -228,7 +234,13 @@
     }
 
     /// Releases runs that a complete report does not list.
-    fn release_absent_runs(&mut self, id: &WorkerId, requested_at: Millis, report: &WorkerReport) {
+    fn release_absent_runs(
+        &mut self,
+        id: &WorkerId,
+        requested_at: Millis,
+        now: Millis,
+        report: &WorkerReport,
+    ) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
@@ -250,7 +262,7 @@
                 worker.remove_run(&key);
             }
             self.replan = true;
-            if self.release_task(&key, &placement, run) {
+            if self.release_task(&key, &placement, run, now) {
                 tracing::info!(task = %key, run, worker = %id, "run is not on its worker; it starts again");
             }
         }
@@ -282,7 +294,7 @@
                     run.settled_at = Some(now);
                 }
             }
-            StartResponse::OtherIncarnation => self.mark_worker_dead(id),
+            StartResponse::OtherIncarnation => self.mark_worker_dead(id, now),
             StartResponse::Unknown => {
                 run.in_doubt = true;
                 worker.missed_polls = worker.missed_polls.max(MISSED_POLLS_TO_EXCLUDE);
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -135,7 +135,7 @@
     respond(&mut sched, &start, StartResponse::Started, Millis(5));
     register(&mut sched, entry(2, 2, 8000, 8000), Millis(10));
 
-    sched.mark_worker_dead(&worker_id(1));
+    sched.mark_worker_dead(&worker_id(1), Millis(20));
     let again = starts(&plan_and_commit(&mut sched, 2, Millis(20)));
 
     assert_eq!(again.len(), 1);
