--- /dev/null
+++ b/tests/scheduler_records.rs
@@ -0,0 +1,93 @@
+//! Order in which the leader writes job records.
+
+mod scheduler_support;
+
+use sapphirecroft::prelude::*;
+use sapphirecroft::scheduler::{
+    RunCompletion, RunOutcome, Scheduler, StartCommand, StartResponse, WorkerReport,
+};
+use scheduler_support::*;
+
+/// Time from one write to the next.
+const WRITE: u64 = 20;
+
+/// Adds a job with one long-running task.
+fn submit_long_running(sched: &mut Scheduler, name: &str) {
+    let mut one = step(1, 100, 100);
+    one.long_running = true;
+    submit(sched, name, job("urgent", vec![one]), Millis(0));
+}
+
+/// Reports that all started runs have failed, so that their jobs change again.
+fn fail_all(sched: &mut Scheduler, started: &[StartCommand], sequence: &mut u64, now: Millis) {
+    let ended = started
+        .iter()
+        .map(|start| {
+            *sequence += 1;
+            RunCompletion {
+                sequence: *sequence,
+                task: start.task.clone(),
+                run: start.run,
+                outcome: RunOutcome::Failed,
+                checkpoint: String::new(),
+            }
+        })
+        .collect();
+    let report = WorkerReport {
+        ended,
+        ..WorkerReport::default()
+    };
+    deliver_report(sched, &worker_id(1), 1, now, report);
+}
+
+/// Guards against a task that waits for its record as long as jobs with lower ids keep changing:
+/// one write holds 15 records, and a write in the order of ids never reached the last jobs.
+#[test]
+fn a_job_with_a_high_id_starts_while_others_keep_changing() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 64_000, 64_000), Millis(0));
+    for at in 0..40 {
+        submit_long_running(&mut sched, &format!("a{at:02}"));
+    }
+    submit_long_running(&mut sched, "z");
+    let mut sequence = 0;
+    let mut started_at = None;
+
+    for write in 1..50 {
+        let now = Millis(write * WRITE);
+        sched.plan(now);
+        let batch = sched.next_batch().expect("records wait");
+        sched.on_commit(&batch, write, now);
+        let started = starts(&sched.take_commands());
+        for start in &started {
+            respond(&mut sched, start, StartResponse::Started, now);
+        }
+        if started.iter().any(|start| start.task.job == id("z")) {
+            started_at = Some(write);
+            break;
+        }
+        fail_all(&mut sched, &started, &mut sequence, now);
+    }
+
+    let writes = started_at.expect("the job with the highest id starts");
+    assert!(writes <= 3, "its record was part of write {writes} only");
+}
+
+/// Guards against a record that loses its turn because a write of it failed.
+#[test]
+fn a_record_keeps_its_turn_after_a_failed_write() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 64_000, 64_000), Millis(0));
+    submit_long_running(&mut sched, "z");
+    sched.plan(Millis(0));
+    let failed = sched.next_batch().expect("a record waits");
+    for at in 0..40 {
+        submit_long_running(&mut sched, &format!("a{at:02}"));
+    }
+    sched.plan(Millis(WRITE));
+
+    sched.on_commit_failure(&failed);
+    let batch = sched.next_batch().expect("records wait");
+
+    assert_eq!(batch.writes[0].job, id("z"));
+}
