--- a/src/bench/leader.rs
+++ b/src/bench/leader.rs
@@ -228,7 +228,7 @@
         self.timed("plan", |site| {
             site.sched.plan(now);
         });
-        while let Some(batch) = self.timed("commit", |site| site.sched.next_batch()) {
+        while let Some(batch) = self.timed("commit", |site| site.sched.next_batch(1)) {
             self.revision += 1;
             let revision = self.revision;
             self.timed("commit", |site| {
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -26,7 +26,7 @@
 }
 
 impl Leader {
-    /// Sends commands and wakes the planner and the committers.
+    /// Sends commands and wakes the planner and the committer.
     pub fn dispatch(self: &Arc<Self>) {
         self.send_commands();
         if self.sched.lock().needs_plan() {
--- a/src/entry/leader.rs
+++ b/src/entry/leader.rs
@@ -20,7 +20,7 @@
     /// Fencing token: revision of the leader key.
     pub fence: u64,
     pub sched: Mutex<Scheduler>,
-    /// Wakes the committers.
+    /// Wakes the committer.
     pub committer_wake: Notify,
     /// Wakes the planner.
     pub planner_wake: Notify,
--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -25,9 +25,6 @@
 /// Timeout of one renewal.
 const RENEW_TIMEOUT: Millis = Millis(500);
 
-/// Number of committers; each has at most one transaction in flight.
-const COMMITTERS: usize = 2;
-
 /// Leads until the leader key is lost or `cancel` is triggered.
 pub(super) async fn run_term(
     shared: &Arc<Shared>,
@@ -71,9 +68,7 @@
         tasks.spawn(run_planner(leader.clone()));
         tasks.spawn(save_interference(leader.clone()));
         tasks.spawn(remove_outdated_jobs(leader.clone()));
-        for _ in 0..COMMITTERS {
-            tasks.spawn(run_committer(leader.clone()));
-        }
+        tasks.spawn(run_committer(leader.clone()));
         leader.dispatch();
         leader.term_ended.cancelled().await;
     }
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -6,7 +6,7 @@
 
 /// Maximum number of records in one transaction: the store accepts 32 entries, one of them is the
 /// leader's key, and each record takes a condition and a write.
-const BATCH_RECORDS: usize = 15;
+pub const BATCH_RECORDS: usize = 15;
 
 /// Records that are written in one transaction.
 #[derive(Clone, Debug, PartialEq)]
@@ -32,10 +32,11 @@
 }
 
 impl Scheduler {
-    /// Returns the next records to write; a job has at most one write in flight.
-    pub fn next_batch(&mut self) -> Option<Batch> {
+    /// Returns the next records to write, if at least `least` wait; a job has at most one write in
+    /// flight.
+    pub fn next_batch(&mut self, least: usize) -> Option<Batch> {
         let jobs = &self.jobs;
-        let taken = self.dirty.take(BATCH_RECORDS, |id| {
+        let taken = self.dirty.take(least, BATCH_RECORDS, |id| {
             jobs.get(id).is_some_and(|job| !job.write_in_flight)
         });
         let mut writes = Vec::new();
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -32,7 +32,7 @@
 
 pub use advice::{AdviceRequest, AdviceSettings};
 pub use command::{Command, PollPlan, StartCommand, StartResponse, StopCommand};
-pub use commit::{Batch, RecordWrite};
+pub use commit::{BATCH_RECORDS, Batch, RecordWrite};
 pub use job::{Job, JobView, Phase};
 pub use queue::{Queue, QueueTable};
 pub use queue_load::QueueLoad;
--- a/src/scheduler/record_queue.rs
+++ b/src/scheduler/record_queue.rs
@@ -43,9 +43,11 @@
         }
     }
 
-    /// Takes up to `most` jobs for which `is_writable` holds, those with the earliest change first.
+    /// Takes up to `most` jobs for which `is_writable` holds, those with the earliest change first;
+    /// none if there are fewer than `least`.
     pub fn take(
         &mut self,
+        least: usize,
         most: usize,
         is_writable: impl Fn(&JobId) -> bool,
     ) -> Vec<(JobId, Millis)> {
@@ -56,6 +58,9 @@
             .take(most)
             .map(|((changed_at, _), id)| (id.clone(), *changed_at))
             .collect();
+        if taken.len() < least {
+            return Vec::new();
+        }
         for (id, _) in &taken {
             self.remove(id);
         }
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -44,7 +44,7 @@
 
     sched.plan(Millis(0));
     let before = sched.take_commands();
-    let batch = sched.next_batch().expect("a record waits");
+    let batch = sched.next_batch(1).expect("a record waits");
     sched.on_commit(&batch, 5, Millis(10));
     let after = starts(&sched.take_commands());
 
@@ -73,7 +73,7 @@
     }
 
     sched.plan(Millis(0));
-    let batch = sched.next_batch().expect("records wait");
+    let batch = sched.next_batch(1).expect("records wait");
 
     assert!(
         2 * batch.writes.len() < 32,
@@ -155,7 +155,7 @@
         Millis(0),
     );
     first.plan(Millis(0));
-    let batch = first.next_batch().expect("a record waits");
+    let batch = first.next_batch(1).expect("a record waits");
     let record = decode_record(&batch.writes[0].value);
 
     let mut second = leader(Millis(100));
@@ -306,7 +306,7 @@
             ..WorkerReport::default()
         };
         deliver_report(&mut sched, &start.worker, 1, now + Millis(500), report);
-        while let Some(batch) = sched.next_batch() {
+        while let Some(batch) = sched.next_batch(1) {
             sched.on_commit(&batch, 10 + attempt, now + Millis(510));
         }
         views.push(sched.view(&id("a")));
@@ -469,7 +469,7 @@
     );
     submit(&mut sched, "planned", one(), Millis(600));
     sched.plan(Millis(600));
-    let batch = sched.next_batch().expect("a record waits");
+    let batch = sched.next_batch(1).expect("a record waits");
 
     let mut draining = entry(1, 1, 8000, 8000);
     draining.draining = true;
--- a/tests/scheduler_records.rs
+++ b/tests/scheduler_records.rs
@@ -4,7 +4,7 @@
 
 use sapphirecroft::prelude::*;
 use sapphirecroft::scheduler::{
-    RunCompletion, RunOutcome, Scheduler, StartCommand, StartResponse, WorkerReport,
+    BATCH_RECORDS, RunCompletion, RunOutcome, Scheduler, StartCommand, StartResponse, WorkerReport,
 };
 use scheduler_support::*;
 
@@ -56,7 +56,7 @@
     for write in 1..50 {
         let now = Millis(write * WRITE);
         sched.plan(now);
-        let batch = sched.next_batch().expect("records wait");
+        let batch = sched.next_batch(1).expect("records wait");
         sched.on_commit(&batch, write, now);
         let started = starts(&sched.take_commands());
         for start in &started {
@@ -80,14 +80,33 @@
     register(&mut sched, entry(1, 1, 64_000, 64_000), Millis(0));
     submit_long_running(&mut sched, "z");
     sched.plan(Millis(0));
-    let failed = sched.next_batch().expect("a record waits");
+    let failed = sched.next_batch(1).expect("a record waits");
     for at in 0..40 {
         submit_long_running(&mut sched, &format!("a{at:02}"));
     }
     sched.plan(Millis(WRITE));
 
     sched.on_commit_failure(&failed);
-    let batch = sched.next_batch().expect("records wait");
+    let batch = sched.next_batch(1).expect("records wait");
 
     assert_eq!(batch.writes[0].job, id("z"));
 }
+
+/// Guards against many small writes: a write beside others is worth its price only if it is full.
+#[test]
+fn a_further_write_waits_for_a_full_batch() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 64_000, 64_000), Millis(0));
+    for at in 0..BATCH_RECORDS + 5 {
+        submit_long_running(&mut sched, &format!("a{at:02}"));
+    }
+    sched.plan(Millis(0));
+
+    let full = sched.next_batch(BATCH_RECORDS);
+    let partial = sched.next_batch(BATCH_RECORDS);
+    let rest = sched.next_batch(1);
+
+    assert_eq!(full.map(|batch| batch.writes.len()), Some(BATCH_RECORDS));
+    assert_eq!(partial, None);
+    assert_eq!(rest.map(|batch| batch.writes.len()), Some(5));
+}
--- a/tests/scheduler_support/mod.rs
+++ b/tests/scheduler_support/mod.rs
@@ -122,7 +122,7 @@
 /// Plans and commits all records; returns the commands of the leader.
 pub fn plan_and_commit(sched: &mut Scheduler, revision: u64, now: Millis) -> Vec<Command> {
     sched.plan(now);
-    while let Some(batch) = sched.next_batch() {
+    while let Some(batch) = sched.next_batch(1) {
         sched.on_commit(&batch, revision, now);
     }
     sched.take_commands()
--- a/tests/scheduler_support/sim.rs
+++ b/tests/scheduler_support/sim.rs
@@ -298,7 +298,7 @@
         }
         term.sched.tick(now);
         term.sched.plan(now);
-        while let Some(batch) = term.sched.next_batch() {
+        while let Some(batch) = term.sched.next_batch(1) {
             let lost = self.rng.random_bool(0.05);
             if !current {
                 term.sched.on_commit_failure(&batch);
