End the term of a leader whose task ends unexpectedly

A panic in the planner or a watch ended that task alone, and the leader went on renewing its key and started nothing.

Change: the term waits for its tasks as well as for its end; a task that panicked is logged and ends the term, so that a successor takes over.

--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -70,7 +70,7 @@
         tasks.spawn(remove_outdated_jobs(leader.clone()));
         tasks.spawn(run_committer(leader.clone()));
         leader.dispatch();
-        leader.term_ended.cancelled().await;
+        end_with_tasks(&leader, &mut tasks).await;
     }
     *shared.leader.write() = None;
     leader.term_ended.cancel();
@@ -81,6 +81,21 @@
     }
 }
 
+/// Waits for the end of the term. A task that ends unexpectedly ends the term, since a leader
+/// without its planner or committer would keep the key and start nothing.
+async fn end_with_tasks(leader: &Leader, tasks: &mut JoinSet<()>) {
+    loop {
+        tokio::select! {
+            () = leader.term_ended.cancelled() => return,
+            Some(ended) = tasks.join_next() => if let Err(err) = ended {
+                tracing::error!(fence = leader.fence, %err, "task of the leader ended unexpectedly");
+                leader.term_ended.cancel();
+                return;
+            }
+        }
+    }
+}
+
 /// Removes the leader key, so that a successor does not wait for the lease to expire.
 async fn hand_over(leader: &Leader) {
     let removed = remove_leader_key(&leader.shared, leader.fence).await;
