Count a record that a conflict does not show as absent

After a removal without an answer a later write of an ended job expected a revision that no longer exists.

Change: on_commit_conflict takes the revisions of all records of the batch, 0 for those that are absent. The random model uses the same function as the daemon.

Measured: a_removed_record_does_not_hold_up_its_batch passes; before, set_revision had no way to say that a record is absent.

--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -89,13 +89,11 @@
                 leader.term_ended.cancel();
                 return;
             }
-            let mut sched = leader.sched.lock();
-            for item in items {
-                if let Some(id) = record_id(&item.key) {
-                    sched.set_revision(&id, item.revision);
-                }
-            }
-            sched.on_commit_failure(&batch);
+            let revisions = items
+                .iter()
+                .filter_map(|item| Some((record_id(&item.key)?, item.revision)))
+                .collect();
+            leader.sched.lock().on_commit_conflict(&batch, &revisions);
         }
         other => {
             tracing::info!(
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -1,5 +1,7 @@
 //! Writes job records in batches, and sends the starts and acknowledgements that wait for them.
 
+use std::collections::HashMap;
+
 use super::worker::RunState;
 use super::{Command, Phase, Scheduler, StartCommand, TaskKey};
 use crate::prelude::*;
@@ -102,11 +104,15 @@
         }
     }
 
-    /// Corrects the revision of a record after a conflict with a delayed write of this leader.
-    pub fn set_revision(&mut self, id: &JobId, revision: u64) {
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.revision = revision;
+    /// Corrects the revisions of a batch after a conflict with a delayed write or removal of this
+    /// leader, and schedules it for another write. `revisions` names the records that exist.
+    pub fn on_commit_conflict(&mut self, batch: &Batch, revisions: &HashMap<JobId, u64>) {
+        for write in &batch.writes {
+            if let Some(job) = self.jobs.get_mut(&write.job) {
+                job.revision = revisions.get(&write.job).copied().unwrap_or(0);
+            }
         }
+        self.on_commit_failure(batch);
     }
 
     fn send_durable_starts(&mut self, id: &JobId, now: Millis) {
--- a/tests/scheduler_records.rs
+++ b/tests/scheduler_records.rs
@@ -92,7 +92,29 @@
     assert_eq!(batch.writes[0].job, id("z"));
 }
 
-/// Guards against many small writes: a write beside others is worth its price only if it is full.
+/// Guards against a batch that conflicts for ever, because one of its records has been removed.
+#[test]
+fn a_removed_record_does_not_hold_up_its_batch() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 64_000, 64_000), Millis(0));
+    submit_long_running(&mut sched, "kept");
+    submit_long_running(&mut sched, "removed");
+    sched.plan(Millis(0));
+    let batch = sched.next_batch(1).expect("records wait");
+    sched.on_commit(&batch, 5, Millis(0));
+    let started = starts(&sched.take_commands());
+    fail_all(&mut sched, &started, &mut 0, Millis(WRITE));
+    let batch = sched.next_batch(1).expect("records wait");
+
+    let revisions = [(id("kept"), 7)].into_iter().collect();
+    sched.on_commit_conflict(&batch, &revisions);
+    let retried = sched.next_batch(1).expect("records wait");
+
+    let expected: Vec<u64> = retried.writes.iter().map(|write| write.revision).collect();
+    assert_eq!(expected, [7, 0]);
+}
+
+/// Guards against many small writes: beside others in flight, a write has to be full.
 #[test]
 fn a_further_write_waits_for_a_full_batch() {
     let mut sched = leader(Millis(0));
--- a/tests/scheduler_support/sim.rs
+++ b/tests/scheduler_support/sim.rs
@@ -320,12 +320,12 @@
             if fits && !lost {
                 term.sched.on_commit(&batch, self.revision, now);
             } else {
-                for write in &batch.writes {
-                    if let Some((_, revision)) = self.records.get(&write.job) {
-                        term.sched.set_revision(&write.job, *revision);
-                    }
-                }
-                term.sched.on_commit_failure(&batch);
+                let revisions = self
+                    .records
+                    .iter()
+                    .map(|(id, (_, revision))| (id.clone(), *revision))
+                    .collect();
+                term.sched.on_commit_conflict(&batch, &revisions);
                 break;
             }
         }
