Limit what a failed search says about other steps

Cause: the findings of a planning round were keyed too widely or too narrowly. A gang that did not fit as a whole recorded its need as unplaceable while it still held the resources of its first members, so smaller jobs behind it were passed over in each round. A step for which no run could be preempted because of its label, bound or advice recorded that for all services and labels.

Change: a search tells whether no worker has room, or whether a limit of the task itself excluded a worker; only the former is recorded, with the service and the label. The findings of an incomplete gang are dropped and replaced by the number of tasks that do not fit together. Overdue jobs share the findings, except best-effort ones, whose limits they lift.

--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -4,10 +4,10 @@
 
 use super::order::{Rank, WaitingJob, rank};
 use super::round::Round;
-use super::selection::PlacementRequest;
+use super::selection::{NotFound, PlacementRequest};
 use super::state::new_run;
 use super::worker::RunState;
-use super::{Job, Queue, Scheduler};
+use super::{Job, Queue, Scheduler, TaskKey};
 use crate::prelude::*;
 
 /// Maximum number of tasks assigned in one round, so that a round stays short on a small machine.
@@ -153,6 +153,7 @@
         let advice = queue
             .advice
             .map(|_| self.advice.get(&step_key).cloned().unwrap_or_default());
+        let before = round.mark();
         let mut placed = Vec::new();
         for index in open {
             let failures = job.instances[instance].tasks[index].failures;
@@ -165,14 +166,10 @@
                 overdue: round.is_overdue(job),
                 advice: advice.as_ref(),
             };
-            let found = if round.is_known_to_fail(step, &queue.service) && !request.overdue {
+            let found = if round.is_known_to_fail(&request) {
                 None
             } else {
-                let found = self.select_worker(&request, now);
-                if found.is_none() {
-                    round.record_failed_search(step, &queue.service, request.is_unconstrained());
-                }
-                found
+                self.search(&request, round, now)
             };
             let Some(worker) = found else {
                 if step.best_effort || !self.preempt(&request, queue.priority, round, now) {
@@ -206,16 +203,49 @@
         if queue.advice.is_some() && job.instances[instance].has_open_tasks() {
             self.request_advice(job, instance, &queue.service, now);
         }
-        if step.gang && placed.len() < job.instances[instance].tasks.len() {
-            for (worker, key, index) in placed {
-                if let Some(found) = self.workers.get_mut(&worker) {
-                    found.remove_run(&key);
-                }
-                self.refresh_margin(&worker);
-                job.instances[instance].tasks[index].place = None;
+        if step.gang && placed.len() < step.tasks as usize {
+            if !placed.is_empty() && round.forget_since(before) {
+                let overdue = round.is_overdue(job);
+                round.record_unplaceable(step, &queue.service, overdue, placed.len() + 1);
             }
+            self.withdraw(job, instance, placed);
             return 0;
         }
         placed.len()
     }
+
+    /// Takes the planned runs of an incomplete gang back.
+    fn withdraw(
+        &mut self,
+        job: &mut Job,
+        instance: usize,
+        placed: Vec<(WorkerId, TaskKey, usize)>,
+    ) {
+        for (worker, key, index) in placed {
+            if let Some(found) = self.workers.get_mut(&worker) {
+                found.remove_run(&key);
+            }
+            self.refresh_margin(&worker);
+            job.instances[instance].tasks[index].place = None;
+        }
+    }
+
+    /// Searches for a worker and records a failure in the findings of the round.
+    fn search(
+        &self,
+        request: &PlacementRequest,
+        round: &mut Round,
+        now: Millis,
+    ) -> Option<WorkerId> {
+        match self.select_worker(request, now) {
+            Ok(worker) => Some(worker),
+            Err(failure) => {
+                round.failed_searches += 1;
+                if failure == NotFound::NoRoom {
+                    round.record_unplaceable(request.step, request.service, request.overdue, 1);
+                }
+                None
+            }
+        }
+    }
 }
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -21,13 +21,18 @@
         now: Millis,
     ) -> bool {
         let reservation = request.step.reservation();
-        if round.is_not_preemptible(priority, &reservation) || round.searches >= MAX_SEARCHES {
+        if round.is_not_preemptible(priority, request) || round.searches >= MAX_SEARCHES {
             return false;
         }
         round.searches += 1;
         let mut best: Option<(u64, WorkerId, Vec<TaskKey>)> = None;
+        let mut limited = false;
         for worker in self.workers.values() {
-            if !request.allows(worker, now) {
+            if !request.is_eligible(worker, now) {
+                continue;
+            }
+            if !request.is_within_limits(worker, now) {
+                limited = true;
                 continue;
             }
             let claimed = round.claims.get(&worker.id).copied().unwrap_or_default();
@@ -51,7 +56,9 @@
             }
         }
         let Some((_, id, victims)) = best else {
-            round.record_not_preemptible(priority, reservation);
+            if !limited {
+                round.record_not_preemptible(priority, request);
+            }
             return false;
         };
         for key in victims {
--- a/src/scheduler/round.rs
+++ b/src/scheduler/round.rs
@@ -2,24 +2,44 @@
 
 use std::collections::HashMap;
 
+use super::selection::PlacementRequest;
 use super::{Job, StepSpec};
 use crate::prelude::*;
 
-/// A step that found no worker; a step that requests at least as much finds none either.
-struct UnplaceableStep {
+/// Steps that find no worker, as one of them has found none.
+struct UnplaceableSteps {
     service: String,
+    /// Label that the workers of the failed search had to have.
+    requires: Option<String>,
     best_effort: bool,
     image: String,
+    overdue: bool,
     need: Resources,
+    /// Number of tasks that have to fit together.
+    together: usize,
+}
+
+/// Reservations for which no worker can be preempted.
+struct NotPreemptible {
+    service: String,
+    requires: Option<String>,
+    priority: u32,
+    reservation: Resources,
+}
+
+/// Number of findings at one moment of a round.
+#[derive(Clone, Copy)]
+pub(super) struct Mark {
+    unplaceable: usize,
+    not_preemptible: usize,
 }
 
 /// Findings of one round. They stay valid until the round ends, because free resources only shrink
-/// within a round.
+/// within a round, unless a gang gives its part back.
 #[derive(Default)]
 pub(super) struct Round {
-    unplaceable: Vec<UnplaceableStep>,
-    /// Reservations, each with its priority, for which no worker could be preempted.
-    not_preemptible: Vec<(u32, Resources)>,
+    unplaceable: Vec<UnplaceableSteps>,
+    not_preemptible: Vec<NotPreemptible>,
     /// Resources being freed on each worker that waiting tasks have claimed.
     pub claims: HashMap<WorkerId, Resources>,
     /// Number of preemption searches so far.
@@ -40,39 +60,86 @@
         }
     }
 
-    /// Returns whether a search for a worker for this step is certain to fail.
-    pub fn is_known_to_fail(&self, step: &StepSpec, service: &str) -> bool {
+    /// Returns whether a search for a worker is certain to fail.
+    pub fn is_known_to_fail(&self, request: &PlacementRequest) -> bool {
+        let step = request.step;
+        let together = tasks_together(step);
         self.unplaceable.iter().any(|failed| {
+            let same_cost = !step.best_effort
+                || (failed.image == step.image && (failed.overdue || !request.overdue));
             failed.best_effort == step.best_effort
+                && same_cost
                 && failed.need.fits(&step.need)
-                && failed.service == service
-                && (!step.best_effort || failed.image == step.image)
+                && failed.together <= together
+                && failed.service == request.service
+                && is_covered(&failed.requires, step)
         })
     }
 
-    /// Records that a step found no worker. Only an unconstrained failure says something about
-    /// other steps.
-    pub fn record_failed_search(&mut self, step: &StepSpec, service: &str, is_unconstrained: bool) {
-        self.failed_searches += 1;
-        if is_unconstrained {
-            self.unplaceable.push(UnplaceableStep {
-                service: service.to_string(),
-                best_effort: step.best_effort,
-                image: step.image.clone(),
-                need: step.need,
-            });
-        }
+    /// Records that the workers have no room for `together` tasks of a step.
+    pub fn record_unplaceable(
+        &mut self,
+        step: &StepSpec,
+        service: &str,
+        overdue: bool,
+        together: usize,
+    ) {
+        self.unplaceable.push(UnplaceableSteps {
+            service: service.to_string(),
+            requires: step.requires.clone(),
+            best_effort: step.best_effort,
+            image: step.image.clone(),
+            overdue,
+            need: step.need,
+            together,
+        });
+    }
+
+    /// Returns whether no worker can be preempted for this request or one for less.
+    pub fn is_not_preemptible(&self, priority: u32, request: &PlacementRequest) -> bool {
+        let reservation = request.step.reservation();
+        self.not_preemptible.iter().any(|known| {
+            known.priority <= priority
+                && known.reservation.fits(&reservation)
+                && known.service == request.service
+                && is_covered(&known.requires, request.step)
+        })
+    }
+
+    /// Records that no worker can be preempted for this request.
+    pub fn record_not_preemptible(&mut self, priority: u32, request: &PlacementRequest) {
+        self.not_preemptible.push(NotPreemptible {
+            service: request.service.to_string(),
+            requires: request.step.requires.clone(),
+            priority,
+            reservation: request.step.reservation(),
+        });
     }
 
-    /// Returns whether no worker can be preempted for this reservation or a smaller one.
-    pub fn is_not_preemptible(&self, priority: u32, reservation: &Resources) -> bool {
-        self.not_preemptible
-            .iter()
-            .any(|(known, least)| *known <= priority && least.fits(reservation))
+    /// Returns the current number of findings.
+    pub fn mark(&self) -> Mark {
+        Mark {
+            unplaceable: self.unplaceable.len(),
+            not_preemptible: self.not_preemptible.len(),
+        }
     }
 
-    /// Records that no worker can be preempted for this reservation.
-    pub fn record_not_preemptible(&mut self, priority: u32, reservation: Resources) {
-        self.not_preemptible.push((priority, reservation));
+    /// Drops the findings since `mark`; returns whether a step was found to have no worker.
+    pub fn forget_since(&mut self, mark: Mark) -> bool {
+        let found = self.unplaceable.len() > mark.unplaceable;
+        self.unplaceable.truncate(mark.unplaceable);
+        self.not_preemptible.truncate(mark.not_preemptible);
+        found
     }
 }
+
+/// Returns the number of tasks of a step that have to be placed in one round.
+fn tasks_together(step: &StepSpec) -> usize {
+    if step.gang { step.tasks as usize } else { 1 }
+}
+
+/// Returns whether a search among workers with label `requires` has covered all workers that a step
+/// may use.
+fn is_covered(requires: &Option<String>, step: &StepSpec) -> bool {
+    requires.is_none() || *requires == step.requires
+}
--- a/src/scheduler/selection.rs
+++ b/src/scheduler/selection.rs
@@ -34,15 +34,17 @@
         &self,
         request: &PlacementRequest,
         now: Millis,
-    ) -> Option<WorkerId> {
+    ) -> Result<WorkerId, NotFound> {
         let reservation = request.step.reservation();
         let mut best: Option<(u64, &Worker)> = None;
+        let mut failure = NotFound::NoRoom;
         for worker in self.workers.values() {
-            if !reservation.fits(&worker.free()) || !request.allows(worker, now) {
+            if !reservation.fits(&worker.free()) || !request.is_eligible(worker, now) {
                 continue;
             }
             let suspect = worker.health.is_suspect(now);
-            if suspect && request.last_attempt {
+            if !request.is_within_limits(worker, now) || (suspect && request.last_attempt) {
+                failure = NotFound::OwnLimits;
                 continue;
             }
             let Some(cost) = cost(worker, request, &self.interference) else {
@@ -53,10 +55,20 @@
                 best = Some((cost, worker));
             }
         }
-        best.map(|(_, worker)| worker.id.clone())
+        best.map(|(_, worker)| worker.id.clone()).ok_or(failure)
     }
 }
 
+/// Why a search for a worker has failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NotFound {
+    /// No worker has room; a task that requests at least as much finds none either.
+    NoRoom,
+    /// A worker has room, but the bound per worker, the advice or the failures of the task exclude
+    /// it. That says nothing about other tasks.
+    OwnLimits,
+}
+
 /// Requirements of one task for its worker.
 pub(super) struct PlacementRequest<'a> {
     pub step: &'a StepSpec,
@@ -75,8 +87,9 @@
 }
 
 impl PlacementRequest<'_> {
-    /// Returns whether the task may run on a worker, apart from its free resources.
-    pub fn allows(&self, worker: &Worker, now: Millis) -> bool {
+    /// Returns whether tasks of this service and label may run on a worker, apart from its free
+    /// resources.
+    pub fn is_eligible(&self, worker: &Worker, now: Millis) -> bool {
         if !worker.fenced || worker.missed_polls > 0 || worker.health.is_cooling_down(now) {
             return false;
         }
@@ -85,15 +98,20 @@
                 && entry.incarnation == worker.incarnation
                 && entry.service == self.service
         });
-        let allowed = self
-            .advice
-            .is_none_or(|advice| advice.ticket(worker, now).is_some());
         let labelled = self
             .step
             .requires
             .as_ref()
             .is_none_or(|label| worker.has_label(label));
-        eligible && labelled && allowed && self.is_below_worker_limit(worker)
+        eligible && labelled
+    }
+
+    /// Returns whether the limits of this task alone admit a worker.
+    pub fn is_within_limits(&self, worker: &Worker, now: Millis) -> bool {
+        let advised = self
+            .advice
+            .is_none_or(|advice| advice.ticket(worker, now).is_some());
+        advised && self.is_below_worker_limit(worker)
     }
 
     /// Returns whether the worker can take one more task of the step.
@@ -102,14 +120,6 @@
             .max_per_worker
             .is_none_or(|most| self.tasks_per_worker.get(&worker.id).copied().unwrap_or(0) < most)
     }
-
-    /// Returns whether free resources are the only requirement of the task.
-    pub fn is_unconstrained(&self) -> bool {
-        self.step.requires.is_none()
-            && self.step.max_per_worker.is_none()
-            && self.advice.is_none()
-            && !self.last_attempt
-    }
 }
 
 /// Returns the cost of running the task on a worker; lower is better. Tasks with reserved CPU are
--- /dev/null
+++ b/tests/scheduler_fairness.rs
@@ -0,0 +1,118 @@
+//! Jobs that cannot be placed must not keep others from being placed.
+
+mod scheduler_support;
+
+use sapphirecroft::prelude::*;
+use sapphirecroft::scheduler::{Scheduler, StartResponse, StepSpec};
+use scheduler_support::*;
+
+/// Time between two ticks.
+const TICK: u64 = 100;
+
+fn with_label(label: &str, step: StepSpec) -> StepSpec {
+    StepSpec {
+        requires: Some(label.to_string()),
+        ..step
+    }
+}
+
+fn long_running(step: StepSpec) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        ..step
+    }
+}
+
+/// Submits `count` jobs, each with a step that is made from its number.
+fn submit_all(sched: &mut Scheduler, count: usize, step: impl Fn(usize) -> StepSpec) {
+    for at in 0..count {
+        let spec = job("urgent", vec![step(at)]);
+        submit(sched, &format!("j{at:03}"), spec, Millis(0));
+    }
+}
+
+/// Ticks and plans until a job starts; returns the number of rounds.
+fn rounds_until_start(sched: &mut Scheduler, name: &str, most: u64) -> Option<u64> {
+    for round in 1..=most {
+        let now = Millis(round * TICK);
+        sched.tick(now);
+        let started = starts(&plan_and_commit(sched, round, now));
+        for start in &started {
+            respond(sched, start, StartResponse::Started, now);
+        }
+        if started.iter().any(|start| start.task.job == id(name)) {
+            return Some(round);
+        }
+    }
+    None
+}
+
+/// Guards against a job that is passed over in each round, because a gang before it held resources
+/// for a moment and did not fit as a whole.
+#[test]
+fn a_gang_that_does_not_fit_does_not_block_other_jobs() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 4000, 8000), Millis(0));
+    let gang = StepSpec {
+        gang: true,
+        ..step(6, 1000, 1000)
+    };
+    submit(&mut sched, "gang", job("urgent", vec![gang]), Millis(0));
+    let single = job("patient", vec![step(1, 1000, 1000)]);
+    submit(&mut sched, "single", single, Millis(0));
+
+    let rounds = rounds_until_start(&mut sched, "single", 10);
+
+    assert_eq!(rounds, Some(1));
+}
+
+/// Guards against jobs that wait for long and fit nowhere: each took a search although the search
+/// of another had failed with the same request, and the jobs behind them were never tried.
+#[test]
+fn overdue_jobs_that_fit_nowhere_do_not_block_other_jobs() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, 8000), Millis(0));
+    submit_all(&mut sched, 100, |_| step(1, 9000, 1000));
+    plan_and_commit(&mut sched, 1, Millis(0));
+    let late = Millis(5000);
+    let last = job("patient", vec![step(1, 1000, 1000)]);
+    submit(&mut sched, "last", last, late);
+
+    let started = starts(&plan_and_commit(&mut sched, 2, late));
+
+    assert_eq!(started.len(), 1);
+}
+
+/// Occupies three workers with preemptible runs.
+fn leader_with_preemptible_runs() -> Scheduler {
+    let mut sched = leader(Millis(0));
+    for at in 1..=3 {
+        register(&mut sched, entry(at, 1, 8000, 8000), Millis(0));
+    }
+    let plan = job("patient", vec![step(3, 8000, 1000)]);
+    submit(&mut sched, "plan", plan, Millis(0));
+    for start in starts(&plan_and_commit(&mut sched, 1, Millis(0))) {
+        respond(&mut sched, &start, StartResponse::Started, Millis(5));
+    }
+    sched
+}
+
+/// Guards against an urgent task for which no run is preempted, because a step with a label that no
+/// worker has found none before it.
+#[test]
+fn a_step_without_a_worker_does_not_end_preemption() {
+    let mut sched = leader_with_preemptible_runs();
+    let labelled = with_label("none", long_running(step(1, 100, 100)));
+    submit(
+        &mut sched,
+        "first",
+        job("urgent", vec![labelled]),
+        Millis(10),
+    );
+    let check = job("urgent", vec![step(1, 8000, 1000)]);
+    submit(&mut sched, "second", check, Millis(10));
+
+    let stopped = stops(&plan_and_commit(&mut sched, 2, Millis(10)));
+
+    assert_eq!(stopped.len(), 1);
+}
