Resume a planning round where the last one was cut short

Cause: a round ends after 30 failed searches and preempts for 8 tasks at most, both counted from the front of the order. Jobs at the front that find no worker for a reason of their own (a label that no worker has, a bound per worker that is reached everywhere) use up every round, and the jobs behind them are never tried, although they fit.

Change: SearchBudget remembers the first job that a round left untried. The next round spends at most half of its searches before that job and the rest from there on, so a round takes no more searches than before.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -20,6 +20,7 @@
 mod record_queue;
 mod report;
 mod round;
+mod search_budget;
 mod selection;
 mod slack;
 mod spec;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -4,6 +4,7 @@
 
 use super::order::{Rank, WaitingJob, rank};
 use super::round::Round;
+use super::search_budget::Turn;
 use super::selection::{NotFound, PlacementRequest};
 use super::state::new_run;
 use super::worker::RunState;
@@ -13,10 +14,6 @@
 /// Maximum number of tasks assigned in one round, so that a round stays short on a small machine.
 const MAX_ASSIGNED: usize = 200;
 
-/// Number of failed searches after which a round ends. Later steps rarely fit either, and a round
-/// over a long queue would keep a small machine from renewing its lease.
-const MAX_FAILED_SEARCHES: usize = 30;
-
 /// Maximum time that a job waits with nothing running while capacity is free; after 3 s it counts
 /// as lost.
 const MAX_IDLE: Millis = Millis(1500);
@@ -34,27 +31,27 @@
         }
         self.replan = false;
         self.refresh_margins();
-        let mut round = Round::default();
+        let mut round = Round::new(std::mem::take(&mut self.resume));
         if self.has_spare_capacity() {
             round.overdue_before = now.0.checked_sub(MAX_IDLE.0).map(Millis);
         }
         let ranked = self.ranked(&round, now);
         let mut assigned = 0;
-        for id in ranked {
+        for turn in ranked {
             if assigned >= MAX_ASSIGNED {
                 self.replan = true;
                 break;
             }
-            if round.failed_searches >= MAX_FAILED_SEARCHES {
-                break;
+            if round.failed_searches.has_left(&turn) {
+                assigned += self.plan_job(&turn, &mut round, now);
             }
-            assigned += self.plan_job(&id, &mut round, now);
         }
+        self.resume = round.finish();
         assigned
     }
 
     /// Returns the jobs with a task to assign, the most urgent first.
-    fn ranked(&mut self, round: &Round, now: Millis) -> Vec<JobId> {
+    fn ranked(&mut self, round: &Round, now: Millis) -> Vec<Turn> {
         let mut waiting = Vec::new();
         for id in &self.active {
             if self
@@ -65,12 +62,12 @@
                 waiting.push(id);
             }
         }
-        let mut ranked: Vec<(Rank, &JobId)> = waiting
+        let mut ranked: Vec<Turn> = waiting
             .into_iter()
-            .filter_map(|id| Some((self.rank(self.jobs.get(id)?, round, now)?, id)))
+            .filter_map(|id| Some((self.rank(self.jobs.get(id)?, round, now)?, id.clone())))
             .collect();
         ranked.sort_unstable();
-        ranked.into_iter().map(|(_, id)| id.clone()).collect()
+        ranked
     }
 
     /// Returns whether so much of the fleet is unreserved that no job has reason to wait.
@@ -98,7 +95,8 @@
         Some(rank(&waiting, now))
     }
 
-    fn plan_job(&mut self, id: &JobId, round: &mut Round, now: Millis) -> usize {
+    fn plan_job(&mut self, turn: &Turn, round: &mut Round, now: Millis) -> usize {
+        let (_, id) = turn;
         let Some(mut job) = self.jobs.remove(id) else {
             return 0;
         };
@@ -107,7 +105,7 @@
         if let Some(queue) = queues.queues.get(&job.spec.queue) {
             for instance in 0..job.instances.len() {
                 if job.instances[instance].has_open_tasks() && job.is_ready(instance, now) {
-                    assigned += self.plan_instance(&mut job, queue, instance, round, now);
+                    assigned += self.plan_instance(&mut job, queue, instance, turn, round, now);
                 }
             }
         }
@@ -124,6 +122,7 @@
         job: &mut Job,
         queue: &Queue,
         instance: usize,
+        turn: &Turn,
         round: &mut Round,
         now: Millis,
     ) -> usize {
@@ -172,7 +171,7 @@
                 self.search(&request, round, now)
             };
             let Some(worker) = found else {
-                if step.best_effort || !self.preempt(&request, queue.priority, round, now) {
+                if step.best_effort || !self.preempt(&request, queue.priority, turn, round, now) {
                     break;
                 }
                 continue;
@@ -240,7 +239,7 @@
         match self.select_worker(request, now) {
             Ok(worker) => Some(worker),
             Err(failure) => {
-                round.failed_searches += 1;
+                round.failed_searches.spend();
                 if failure == NotFound::NoRoom {
                     round.record_unplaceable(request.step, request.service, request.overdue, 1);
                 }
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -1,15 +1,12 @@
 //! Preempts less urgent runs to free resources for urgent tasks.
 
 use super::round::Round;
+use super::search_budget::Turn;
 use super::selection::PlacementRequest;
 use super::worker::{Run, RunState};
 use super::{Scheduler, TaskKey, Worker};
 use crate::prelude::*;
 
-/// Maximum number of preemption searches in one round: each looks at the runs of all workers, and a
-/// round has to stay short on a small machine.
-const MAX_SEARCHES: usize = 8;
-
 impl Scheduler {
     /// Stops less urgent runs on one worker so that a task fits there, or claims resources that are
     /// already being freed; returns whether the task can expect resources.
@@ -17,14 +14,15 @@
         &mut self,
         request: &PlacementRequest,
         priority: u32,
+        turn: &Turn,
         round: &mut Round,
         now: Millis,
     ) -> bool {
         let reservation = request.step.reservation();
-        if round.is_not_preemptible(priority, request) || round.searches >= MAX_SEARCHES {
+        if round.is_not_preemptible(priority, request) || !round.preemptions.has_left(turn) {
             return false;
         }
-        round.searches += 1;
+        round.preemptions.spend();
         let mut best: Option<(u64, WorkerId, Vec<TaskKey>)> = None;
         let mut limited = false;
         for worker in self.workers.values() {
--- a/src/scheduler/round.rs
+++ b/src/scheduler/round.rs
@@ -2,10 +2,19 @@
 
 use std::collections::HashMap;
 
+use super::search_budget::{SearchBudget, Turn};
 use super::selection::PlacementRequest;
 use super::{Job, StepSpec};
 use crate::prelude::*;
 
+/// Maximum number of failed searches in one round. A round over a long queue would keep a small
+/// machine from renewing its lease.
+const MAX_FAILED_SEARCHES: usize = 30;
+
+/// Maximum number of preemption searches in one round: each looks at the runs of all workers, and a
+/// round has to stay short on a small machine.
+const MAX_PREEMPTIONS: usize = 8;
+
 /// Steps that find no worker, as one of them has found none.
 struct UnplaceableSteps {
     service: String,
@@ -36,22 +45,48 @@
 
 /// Findings of one round. They stay valid until the round ends, because free resources only shrink
 /// within a round, unless a gang gives its part back.
-#[derive(Default)]
 pub(super) struct Round {
     unplaceable: Vec<UnplaceableSteps>,
     not_preemptible: Vec<NotPreemptible>,
     /// Resources being freed on each worker that waiting tasks have claimed.
     pub claims: HashMap<WorkerId, Resources>,
-    /// Number of preemption searches so far.
-    pub searches: usize,
-    /// Number of searches for a worker without a result.
-    pub failed_searches: usize,
+    /// Searches for a worker without a result.
+    pub failed_searches: SearchBudget,
+    /// Searches for runs to preempt.
+    pub preemptions: SearchBudget,
     /// Jobs that have waited since before this time with nothing running go first; `None` if
     /// capacity is scarce.
     pub overdue_before: Option<Millis>,
 }
 
+/// Where the next round resumes the searches that the last one did not come to.
+#[derive(Debug, Default)]
+pub(super) struct Resume {
+    placement: Option<Turn>,
+    preemption: Option<Turn>,
+}
+
 impl Round {
+    /// Creates a round that resumes where the last one was cut short.
+    pub fn new(resume: Resume) -> Self {
+        Self {
+            unplaceable: Vec::new(),
+            not_preemptible: Vec::new(),
+            claims: HashMap::new(),
+            failed_searches: SearchBudget::new(MAX_FAILED_SEARCHES, resume.placement),
+            preemptions: SearchBudget::new(MAX_PREEMPTIONS, resume.preemption),
+            overdue_before: None,
+        }
+    }
+
+    /// Ends the round; returns where the next one has to resume.
+    pub fn finish(self) -> Resume {
+        Resume {
+            placement: self.failed_searches.into_resume(),
+            preemption: self.preemptions.into_resume(),
+        }
+    }
+
     /// Returns whether a job has waited for too long with nothing running.
     pub fn is_overdue(&self, job: &Job) -> bool {
         match (self.overdue_before, job.idle_since) {
--- /dev/null
+++ b/src/scheduler/search_budget.rs
@@ -0,0 +1,56 @@
+//! Bound on the searches of a planning round, without favour for the jobs at the front.
+
+use super::order::Rank;
+use crate::prelude::*;
+
+/// Place of a job in the order of a round.
+pub(super) type Turn = (Rank, JobId);
+
+/// Number of searches that one round may take.
+///
+/// A round that was cut short leaves jobs untried. The next one spends at most half of the budget
+/// on the jobs before them and the rest from there on, so that each job is tried in turn.
+#[derive(Debug)]
+pub(super) struct SearchBudget {
+    most: usize,
+    used: usize,
+    /// First job that the last round left untried.
+    resume_at: Option<Turn>,
+    /// First job that this round leaves untried.
+    untried: Option<Turn>,
+}
+
+impl SearchBudget {
+    /// Creates the budget of a round; `resume_at` is where the last one was cut short.
+    pub fn new(most: usize, resume_at: Option<Turn>) -> Self {
+        Self {
+            most,
+            used: 0,
+            resume_at,
+            untried: None,
+        }
+    }
+
+    /// Counts a search.
+    pub fn spend(&mut self) {
+        self.used += 1;
+    }
+
+    /// Returns whether searches are left for the job whose turn it is; the jobs come in order.
+    pub fn has_left(&mut self, turn: &Turn) -> bool {
+        let is_before = self.resume_at.as_ref().is_some_and(|at| turn < at);
+        if is_before {
+            return self.used < self.most / 2;
+        }
+        if self.used < self.most {
+            return true;
+        }
+        self.untried.get_or_insert_with(|| turn.clone());
+        false
+    }
+
+    /// Returns where the next round has to resume.
+    pub fn into_resume(self) -> Option<Turn> {
+        self.untried
+    }
+}
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -5,6 +5,7 @@
 use super::advice::{Advice, StepKey};
 use super::interference::Interference;
 use super::record_queue::RecordQueue;
+use super::round::Resume;
 use super::worker::{Run, RunState};
 use super::{
     Command, Job, JobRecord, JobSpec, JobView, Phase, Placement, QueueTable, StopCommand, TaskKey,
@@ -46,6 +47,7 @@
     pub(super) active: BTreeSet<JobId>,
     pub(super) interference: Interference,
     pub(super) advice: HashMap<StepKey, Advice>,
+    pub(super) resume: Resume,
     /// Something has changed since the last round of planning.
     pub(super) replan: bool,
     /// The leader is authorised to send new starts.
@@ -68,6 +70,7 @@
             active: BTreeSet::new(),
             interference: Interference::default(),
             advice: HashMap::new(),
+            resume: Resume::default(),
             replan: true,
             may_start: true,
         }
--- a/tests/scheduler_fairness.rs
+++ b/tests/scheduler_fairness.rs
@@ -47,6 +47,43 @@
     None
 }
 
+/// Guards against steps with labels that no worker has: each takes a failed search, and a round
+/// that begins with the same jobs each time never comes to the jobs behind them.
+#[test]
+fn steps_without_a_worker_do_not_block_other_jobs() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, 8000), Millis(0));
+    submit_all(&mut sched, 100, |at| {
+        with_label(&format!("label-{at}"), long_running(step(1, 1000, 1000)))
+    });
+    let last = job("patient", vec![step(1, 1000, 1000)]);
+    submit(&mut sched, "last", last, Millis(0));
+
+    let rounds = rounds_until_start(&mut sched, "last", 50);
+
+    let rounds = rounds.expect("the job starts");
+    assert!(rounds <= 10, "it started only in round {rounds}");
+}
+
+/// Guards against steps whose bound per worker is reached on all workers: they fail for a reason of
+/// their own, and must not use up every round.
+#[test]
+fn steps_at_their_bound_per_worker_do_not_block_other_jobs() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 64_000, 64_000), Millis(0));
+    submit_all(&mut sched, 50, |_| StepSpec {
+        max_per_worker: Some(1),
+        ..long_running(step(2, 100, 100))
+    });
+    let last = job("patient", vec![step(1, 1000, 1000)]);
+    submit(&mut sched, "last", last, Millis(0));
+
+    let rounds = rounds_until_start(&mut sched, "last", 50);
+
+    let rounds = rounds.expect("the job starts");
+    assert!(rounds <= 5, "it started only in round {rounds}");
+}
+
 /// Guards against a job that is passed over in each round, because a gang before it held resources
 /// for a moment and did not fit as a whole.
 #[test]
@@ -116,3 +153,24 @@
 
     assert_eq!(stopped.len(), 1);
 }
+
+/// Guards against urgent tasks for which no run is preempted, because steps before them use up the
+/// preemption searches of every round.
+#[test]
+fn many_steps_without_a_worker_do_not_end_preemption() {
+    let mut sched = leader_with_preemptible_runs();
+    submit_all(&mut sched, 25, |at| {
+        with_label(&format!("label-{at}"), long_running(step(1, 100, 100)))
+    });
+    let check = job("urgent", vec![step(1, 8000, 1000)]);
+    submit(&mut sched, "second", check, Millis(10));
+
+    let mut stopped = Vec::new();
+    for round in 1..=10 {
+        let now = Millis(round * TICK);
+        sched.tick(now);
+        stopped.extend(stops(&plan_and_commit(&mut sched, 1 + round, now)));
+    }
+
+    assert!(!stopped.is_empty());
+}
