Ask for advice only on workers with the label of the step

Cause: a call names the 30 to 100 workers with the lowest expected CPU use, whether the step may use them or not. On a large fleet the tickets of the first ones expire before the worker with the label is named, and the calls begin with the same workers again.

Change: only workers with the label are named.

Measured: the new test of advice_cases failed before, with 30 workers without the label in the call; it passes now.

--- a/src/scheduler/advice.rs
+++ b/src/scheduler/advice.rs
@@ -102,7 +102,12 @@
             .values()
             .filter(|advice| advice.call_in_flight)
             .count();
-        let reservation = job.step(instance).reservation();
+        let step = job.step(instance);
+        let reservation = step.reservation();
+        let has_label = |worker: &Worker| {
+            let label = step.requires.as_ref();
+            label.is_none_or(|label| worker.has_label(label))
+        };
         let step_advice = self.advice.entry((job.id.clone(), instance)).or_default();
         if step_advice.call_in_flight || now < step_advice.retry_at || calls >= MAX_CONCURRENT_CALLS
         {
@@ -115,6 +120,7 @@
             .values()
             .filter(|worker| worker.accepts_work() && worker.fenced && worker.missed_polls == 0)
             .filter(|worker| worker.belongs_to(service) && reservation.fits(&worker.free()))
+            .filter(|worker| has_label(worker))
             .filter(|worker| !step_advice.refused.contains(&worker.id))
             .filter(|worker| step_advice.ticket(worker, now).is_none())
             .map(|worker| (worker.expected_cpu, &worker.id))
--- a/tests/advice_cases.rs
+++ b/tests/advice_cases.rs
@@ -123,3 +123,20 @@
 
     assert_eq!(advice_requests(&commands)[0].workers, [worker_id(1)]);
 }
+
+/// Guards against calls that name the same workers each time, of which the step may use none: by the
+/// time that the worker with its label is named, the tickets of the first ones have expired.
+#[test]
+fn advice_is_asked_on_workers_with_the_label_of_the_step() {
+    let mut sched = leader_with_advice(100);
+    let mut labelled = entry(99, 1, 8000, 8000);
+    labelled.labels = vec!["special".to_string(), "r1".to_string()];
+    sched.set_entry(labelled, Millis(0));
+    let mut special = step(1, 1000, 1000);
+    special.requires = Some("special".to_string());
+    submit(&mut sched, "a", job("urgent", vec![special]), Millis(0));
+
+    let call = advice_requests(&plan_and_commit(&mut sched, 1, Millis(0))).remove(0);
+
+    assert_eq!(call.workers, [worker_id(99)]);
+}
