Judge free capacity for each service

Cause: a job with nothing running for 1.5 s goes first while 30% of the CPU is not reserved, but the share was taken over the workers of all services. A full service hid the room of another one, where a job then waited behind each short urgent one.

Change: the share is taken for each service.

--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -1,6 +1,6 @@
 //! Assigns ready tasks to workers, the most urgent job first.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use super::order::{Rank, WaitingJob, rank};
 use super::round::Round;
@@ -32,9 +32,8 @@
         self.replan = false;
         self.refresh_margins();
         let mut round = Round::new(std::mem::take(&mut self.resume));
-        if self.has_spare_capacity() {
-            round.overdue_before = now.0.checked_sub(MAX_IDLE.0).map(Millis);
-        }
+        round.overdue_before = now.0.checked_sub(MAX_IDLE.0).map(Millis);
+        round.spare_services = self.spare_services();
         let ranked = self.ranked(&round, now);
         let mut assigned = 0;
         for turn in ranked {
@@ -70,14 +69,21 @@
         ranked
     }
 
-    /// Returns whether so much of the fleet is unreserved that no job has reason to wait.
-    fn has_spare_capacity(&self) -> bool {
-        let open = self.workers.values().filter(|worker| worker.accepts_work());
-        let (reserved, capacity) = open.fold((0, 0), |(reserved, capacity), worker| {
-            let whole = worker.reserved.cpu.0 + worker.free().cpu.0;
-            (reserved + worker.reserved.cpu.0, capacity + whole)
-        });
-        reserved * 1000 < capacity * SPARE_PERMILLE
+    /// Returns the services of whose workers so much is unreserved that no job has reason to wait.
+    fn spare_services(&self) -> HashSet<String> {
+        let mut loads: HashMap<&str, (u64, u64)> = HashMap::new();
+        for worker in self.workers.values() {
+            if let Some(entry) = worker.entry.as_ref().filter(|entry| !entry.draining) {
+                let (reserved, capacity) = loads.entry(&entry.service).or_default();
+                *reserved += worker.reserved.cpu.0;
+                *capacity += worker.reserved.cpu.0 + worker.free().cpu.0;
+            }
+        }
+        loads
+            .into_iter()
+            .filter(|(_, (reserved, capacity))| reserved * 1000 < capacity * SPARE_PERMILLE)
+            .map(|(service, _)| service.to_string())
+            .collect()
     }
 
     fn rank(&self, job: &Job, round: &Round, now: Millis) -> Option<Rank> {
@@ -86,7 +92,7 @@
         let waiting = WaitingJob {
             priority: queue.priority,
             long_running: job.is_long_running(),
-            overdue: round.is_overdue(job),
+            overdue: round.is_overdue(job, &queue.service),
             objective_at: job.objective_at,
             objective_span: job.objective_span,
             work,
@@ -162,7 +168,7 @@
                 impact: &impact,
                 tasks_per_worker: &tasks_per_worker,
                 last_attempt: failures > 0 && failures + 1 >= queue.max_attempts,
-                overdue: round.is_overdue(job),
+                overdue: round.is_overdue(job, &queue.service),
                 advice: advice.as_ref(),
             };
             let found = if round.is_known_to_fail(&request) {
@@ -204,7 +210,7 @@
         }
         if step.gang && placed.len() < step.tasks as usize {
             if !placed.is_empty() && round.forget_since(before) {
-                let overdue = round.is_overdue(job);
+                let overdue = round.is_overdue(job, &queue.service);
                 round.record_unplaceable(step, &queue.service, overdue, placed.len() + 1);
             }
             self.withdraw(job, instance, placed);
--- a/src/scheduler/round.rs
+++ b/src/scheduler/round.rs
@@ -1,6 +1,6 @@
 //! What one round of planning has found out so far.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use super::search_budget::{SearchBudget, Turn};
 use super::selection::PlacementRequest;
@@ -54,9 +54,11 @@
     pub failed_searches: SearchBudget,
     /// Searches for runs to preempt.
     pub preemptions: SearchBudget,
-    /// Jobs that have waited since before this time with nothing running go first; `None` if
-    /// capacity is scarce.
+    /// A wait since before this time is too long.
     pub overdue_before: Option<Millis>,
+    /// Services with spare capacity: their jobs go first after too long a wait with nothing
+    /// running.
+    pub spare_services: HashSet<String>,
 }
 
 /// Where the next round resumes the searches that the last one did not come to.
@@ -76,6 +78,7 @@
             failed_searches: SearchBudget::new(MAX_FAILED_SEARCHES, resume.placement),
             preemptions: SearchBudget::new(MAX_PREEMPTIONS, resume.preemption),
             overdue_before: None,
+            spare_services: HashSet::new(),
         }
     }
 
@@ -87,12 +90,14 @@
         }
     }
 
-    /// Returns whether a job has waited for too long with nothing running.
-    pub fn is_overdue(&self, job: &Job) -> bool {
-        match (self.overdue_before, job.idle_since) {
+    /// Returns whether a job has waited for too long with nothing running although its service has
+    /// spare capacity.
+    pub fn is_overdue(&self, job: &Job, service: &str) -> bool {
+        let waits_too_long = match (self.overdue_before, job.idle_since) {
             (Some(before), Some(since)) => since < before,
             _ => false,
-        }
+        };
+        waits_too_long && self.spare_services.contains(service)
     }
 
     /// Returns whether a search for a worker is certain to fail.
--- a/tests/scheduler_fairness.rs
+++ b/tests/scheduler_fairness.rs
@@ -3,7 +3,10 @@
 mod scheduler_support;
 
 use sapphirecroft::prelude::*;
-use sapphirecroft::scheduler::{Scheduler, StartResponse, StepSpec};
+use sapphirecroft::scheduler::{
+    QueueTable, RunCompletion, RunOutcome, RunStatus, Scheduler, StartCommand, StartResponse,
+    StepSpec, WorkerReport,
+};
 use scheduler_support::*;
 
 /// Time between two ticks.
@@ -174,3 +177,89 @@
 
     assert!(!stopped.is_empty());
 }
+
+/// Guards against a job that waits beside free workers of its service, because the workers of
+/// another service are full.
+#[test]
+fn free_capacity_counts_for_each_service() {
+    let mut other = queue("other", 0, 2);
+    other.service = "other".to_string();
+    let all = [queue("urgent", 0, 2), queue("patient", 2, 4), other];
+    let queues = QueueTable {
+        version: 1,
+        queues: all.map(|queue| (queue.name.clone(), queue)).into(),
+        max_body: 262_144,
+    };
+    let mut sched = Scheduler::new(timing(), 7, Arc::new(queues), Millis(0));
+    let mut full = entry(9, 1, 80_000, 80_000);
+    full.service = "other".to_string();
+    register(&mut sched, full, Millis(0));
+    register(&mut sched, entry(1, 1, 8000, 8000), Millis(0));
+    submit(
+        &mut sched,
+        "full",
+        job("other", vec![step(1, 80_000, 1000)]),
+        Millis(0),
+    );
+    let waits = job("patient", vec![step(1, 5000, 1000)]);
+    start_all(&mut sched, 1, Millis(0));
+    submit(&mut sched, "waits", waits, Millis(0));
+    let mut stream_runs = Vec::new();
+    let mut waits_started = None;
+    let mut sequence = 0;
+
+    for round in 1..=30 {
+        let now = Millis(round * TICK);
+        end_runs(&mut sched, &mut stream_runs, &[], &mut sequence, now);
+        let next = job("urgent", vec![step(1, 4000, 1000)]);
+        submit(&mut sched, &format!("s{round}"), next, now);
+        stream_runs = start_all(&mut sched, 1 + round, now);
+        if stream_runs.iter().any(|run| run.task.job == id("waits")) {
+            waits_started = Some(now);
+            break;
+        }
+    }
+
+    let at = waits_started.expect("the job starts");
+    assert!(at <= Millis(2000), "it started only at {at}");
+}
+
+/// Plans and commits; returns the starts after the worker has confirmed them.
+fn start_all(sched: &mut Scheduler, revision: u64, now: Millis) -> Vec<StartCommand> {
+    let started = starts(&plan_and_commit(sched, revision, now));
+    for start in &started {
+        respond(sched, start, StartResponse::Started, now);
+    }
+    started
+}
+
+/// Reports the end of runs of the first worker beside others that go on.
+fn end_runs(
+    sched: &mut Scheduler,
+    ended: &mut Vec<StartCommand>,
+    running: &[StartCommand],
+    sequence: &mut u64,
+    now: Millis,
+) {
+    let mut report = WorkerReport::default();
+    for start in running {
+        report.running.push(RunStatus {
+            task: start.task.clone(),
+            run: start.run,
+            checkpoint: String::new(),
+            percent: 100,
+            gauge: 0,
+        });
+    }
+    for start in ended.drain(..) {
+        *sequence += 1;
+        report.ended.push(RunCompletion {
+            sequence: *sequence,
+            task: start.task.clone(),
+            run: start.run,
+            outcome: RunOutcome::Done,
+            checkpoint: String::new(),
+        });
+    }
+    deliver_report(sched, &worker_id(1), 1, now, report);
+}
