Bring long-running tasks back one by one

Cause: the time that counts as too long was the time for which a job had nothing running. A single long-running task that had failed stayed away for as long as others of its job ran: behind more urgent jobs that took each freed place, and never first when less than 30% of the CPU was free. Callers want each task back soon, however full the service is.

Change: each long-running task has its own waiting time. Those that have run and have been away for 1.5 s have a turn of their own before all others; the other tasks of their job keep their place in the order. A new leader takes tasks that it finds away as due.

New long-running tasks still wait there, before and after.

--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -43,6 +43,9 @@
     pub tasks: Vec<TaskRecord>,
     /// Number of tasks that are done.
     pub done: usize,
+    /// Time since when each task of a long-running step has been ready without a place; empty for
+    /// other steps.
+    pub away_since: Vec<Option<Millis>>,
 }
 
 impl StepInstance {
@@ -108,6 +111,10 @@
                         due,
                         tasks: vec![TaskRecord::default(); step.tasks as usize],
                         done: 0,
+                        away_since: match step.long_running {
+                            true => vec![None; step.tasks as usize],
+                            false => Vec::new(),
+                        },
                     })
             })
             .collect();
@@ -129,17 +136,6 @@
         }
     }
 
-    /// Updates the idle time of the job; returns whether a task can be assigned.
-    pub(super) fn update_idle(&mut self, now: Millis) -> bool {
-        let waits = self.has_open_tasks(now);
-        let runs = || {
-            let mut tasks = self.instances.iter().flat_map(|instance| &instance.tasks);
-            tasks.any(|task| task.place.is_some())
-        };
-        self.idle_since = (waits && !runs()).then(|| self.idle_since.unwrap_or(now));
-        waits
-    }
-
     /// Restores the job from its record; returns `false` if the record has another number of tasks.
     pub(super) fn restore(&mut self, record: &JobRecord, revision: u64) -> bool {
         self.revision = revision;
@@ -163,6 +159,10 @@
             let (own, others) = rest.split_at(instance.tasks.len());
             instance.tasks.clone_from_slice(own);
             instance.done = own.iter().filter(|task| task.done).count();
+            // The former leader knew since when a task has been away; it may be for long.
+            for (task, since) in own.iter().zip(&mut instance.away_since) {
+                *since = (task.run > 0 && task.place.is_none()).then_some(Millis::ZERO);
+            }
             rest = others;
         }
         // A recorded run may never have started; only the workers' reports show whether it did.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod spec;
 mod state;
 mod tick;
+mod waits;
 mod worker;
 mod worker_entries;
 mod worker_events;
--- a/src/scheduler/order.rs
+++ b/src/scheduler/order.rs
@@ -4,7 +4,8 @@
 //! length. Jobs that have come furthest go first, whatever their size: a fleet that begins every
 //! job and ends few of them is late with all, and an order by size starves the largest ones.
 //! Long-running tasks go before the finite jobs of their priority: behind them they do not return
-//! for tens of seconds after a failure, because each freed place goes to a finite task.
+//! for tens of seconds after a failure, because each freed place goes to a finite task. Long-running
+//! tasks that have been away for too long after a run go before all others.
 
 use crate::prelude::*;
 
@@ -32,6 +33,8 @@
 /// Group of waiting jobs of one priority, in the order of placement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Group {
+    /// Long-running tasks that have been away for too long after a run.
+    Returning,
     /// The tasks run until the job is cancelled.
     LongRunning,
     /// A result still has value, in time or late.
@@ -43,14 +46,28 @@
 /// Place of a job in the order; the lowest goes first.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
-    /// Priority of the queue; `None` for overdue jobs, which go before all others.
+    /// Priority of the queue; `None` for overdue jobs and returning tasks, which go before all
+    /// others.
     pub priority: Option<u32>,
     pub group: Group,
     /// Share of the job's work that is left, in thousandths.
     pub left_permille: u64,
+    /// Objective of the job, or the time since when a returning task has been away.
     pub objective_at: Millis,
 }
 
+impl Rank {
+    /// Returns the place of the tasks of a job that have been away for too long.
+    pub fn returning(away_since: Millis) -> Self {
+        Self {
+            priority: None,
+            group: Group::Returning,
+            left_permille: 0,
+            objective_at: away_since,
+        }
+    }
+}
+
 /// Returns the place of a waiting job in the order.
 pub(super) fn rank(job: &WaitingJob, now: Millis) -> Rank {
     let (priority, group, left_permille) = if job.overdue {
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 
-use super::order::{Rank, WaitingJob, rank};
+use super::order::{Group, Rank, WaitingJob, rank};
 use super::round::Round;
 use super::search_budget::Turn;
 use super::selection::{NotFound, PlacementRequest};
@@ -14,8 +14,8 @@
 /// Maximum number of tasks assigned in one round, so that a round stays short on a small machine.
 const MAX_ASSIGNED: usize = 200;
 
-/// Maximum time that a job waits with nothing running while capacity is free; after 3 s it counts
-/// as lost.
+/// Maximum time that a job waits with nothing running while capacity is free, and that a
+/// long-running task stays away after a run; after 3 s and 6 s they count as lost.
 const MAX_IDLE: Millis = Millis(1500);
 
 /// Share of reserved CPU, in thousandths, below which capacity suffices for every job; jobs count
@@ -32,7 +32,7 @@
         self.replan = false;
         self.refresh_margins();
         let mut round = Round::new(std::mem::take(&mut self.resume));
-        round.overdue_before = now.0.checked_sub(MAX_IDLE.0).map(Millis);
+        round.long_before = now.0.checked_sub(MAX_IDLE.0).map(Millis);
         round.spare_services = self.spare_services();
         let ranked = self.ranked(&round, now);
         let mut assigned = 0;
@@ -61,10 +61,17 @@
                 waiting.push(id);
             }
         }
-        let mut ranked: Vec<Turn> = waiting
-            .into_iter()
-            .filter_map(|id| Some((self.rank(self.jobs.get(id)?, round, now)?, id.clone())))
-            .collect();
+        let mut ranked: Vec<Turn> = Vec::new();
+        for id in waiting {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let away_since = round
+                .long_before
+                .and_then(|before| job.away_longest(before));
+            ranked.extend(away_since.map(|since| (Rank::returning(since), id.clone())));
+            ranked.extend(self.rank(job, round, now).map(|rank| (rank, id.clone())));
+        }
         ranked.sort_unstable();
         ranked
     }
@@ -134,8 +141,8 @@
     ) -> usize {
         let spec = job.spec.clone();
         let step = &spec.steps[job.instances[instance].step as usize];
-        let open: Vec<usize> = job.instances[instance].open_tasks().collect();
-        if step.gang && open.len() < job.instances[instance].tasks.len() {
+        let open = tasks_to_place(job, instance, turn, round);
+        if open.is_empty() {
             return 0;
         }
         let mut tasks_per_worker: HashMap<WorkerId, u32> = HashMap::new();
@@ -254,3 +261,22 @@
         }
     }
 }
+
+/// Returns the tasks of a step that are to be placed when it is the turn of its job.
+fn tasks_to_place(job: &Job, instance: usize, turn: &Turn, round: &Round) -> Vec<usize> {
+    let gang = job.step(instance).gang;
+    let open: Vec<usize> = job.instances[instance].open_tasks().collect();
+    if gang && open.len() < job.instances[instance].tasks.len() {
+        return Vec::new();
+    }
+    let (rank, _) = turn;
+    let Some(before) = round.long_before.filter(|_| rank.group == Group::Returning) else {
+        return open;
+    };
+    let away: Vec<usize> = job
+        .tasks_away(instance, before)
+        .map(|(index, _)| index)
+        .collect();
+    // The members of a gang are placed together.
+    if gang && !away.is_empty() { open } else { away }
+}
--- a/src/scheduler/round.rs
+++ b/src/scheduler/round.rs
@@ -54,8 +54,8 @@
     pub failed_searches: SearchBudget,
     /// Searches for runs to preempt.
     pub preemptions: SearchBudget,
-    /// A wait since before this time is too long.
-    pub overdue_before: Option<Millis>,
+    /// A wait that began before this time is too long.
+    pub long_before: Option<Millis>,
     /// Services with spare capacity: their jobs go first after too long a wait with nothing
     /// running.
     pub spare_services: HashSet<String>,
@@ -77,7 +77,7 @@
             claims: HashMap::new(),
             failed_searches: SearchBudget::new(MAX_FAILED_SEARCHES, resume.placement),
             preemptions: SearchBudget::new(MAX_PREEMPTIONS, resume.preemption),
-            overdue_before: None,
+            long_before: None,
             spare_services: HashSet::new(),
         }
     }
@@ -93,7 +93,7 @@
     /// Returns whether a job has waited for too long with nothing running although its service has
     /// spare capacity.
     pub fn is_overdue(&self, job: &Job, service: &str) -> bool {
-        let waits_too_long = match (self.overdue_before, job.idle_since) {
+        let waits_too_long = match (self.long_before, job.idle_since) {
             (Some(before), Some(since)) => since < before,
             _ => false,
         };
--- a/tests/scheduler_fairness.rs
+++ b/tests/scheduler_fairness.rs
@@ -4,8 +4,8 @@
 
 use sapphirecroft::prelude::*;
 use sapphirecroft::scheduler::{
-    QueueTable, RunCompletion, RunOutcome, RunStatus, Scheduler, StartCommand, StartResponse,
-    StepSpec, WorkerReport,
+    JobRecord, Phase, QueueTable, RunCompletion, RunOutcome, RunStatus, Scheduler, StartCommand,
+    StartResponse, StepSpec, TaskRecord, WorkerReport,
 };
 use scheduler_support::*;
 
@@ -224,6 +224,101 @@
     assert!(at <= Millis(2000), "it started only at {at}");
 }
 
+/// Starts a long-running task that holds four fifths of the only worker.
+fn full_fleet() -> (Scheduler, Vec<StartCommand>) {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 10_000, 64_000), Millis(0));
+    let base = job("urgent", vec![long_running(step(1, 8000, 100))]);
+    submit(&mut sched, "base", base, Millis(0));
+    let running = start_all(&mut sched, 1, Millis(0));
+    (sched, running)
+}
+
+/// Runs urgent jobs that take each freed part of the worker for a tenth of a second, until a job
+/// has a start or the time is over; returns the time of the start.
+fn stream_until_start(
+    sched: &mut Scheduler,
+    name: &str,
+    running: &[StartCommand],
+    mut ended: Vec<StartCommand>,
+    from: Millis,
+) -> Option<Millis> {
+    let mut sequence = 0;
+    for round in 1..=50 {
+        let now = from + Millis(round * TICK);
+        end_runs(sched, &mut ended, running, &mut sequence, now);
+        for at in 0..2 {
+            let next = job("urgent", vec![step(1, 1000, 100)]);
+            submit(sched, &format!("s{round}-{at}"), next, now);
+        }
+        ended = start_all(sched, 10 + round, now);
+        if ended.iter().any(|start| start.task.job == id(name)) {
+            return Some(now);
+        }
+    }
+    None
+}
+
+/// Guards against a long-running task that stays away because other tasks of its job run: the job
+/// does not count as idle, and urgent tasks take each freed place.
+#[test]
+fn a_failed_long_running_task_is_back_soon_although_others_of_its_job_run() {
+    let (mut sched, mut running) = full_fleet();
+    let lasting = job("patient", vec![long_running(step(2, 1000, 100))]);
+    submit(&mut sched, "long", lasting, Millis(0));
+    let mut long = start_all(&mut sched, 2, Millis(0));
+    let failed = long.remove(0);
+    running.extend(long);
+
+    let back = stream_until_start(&mut sched, "long", &running, vec![failed], Millis(1000));
+
+    let back = back.expect("the task starts again");
+    assert!(back <= Millis(3000), "it was away until {back}");
+}
+
+/// Guards against a long-running task whose wait begins anew with each leader.
+#[test]
+fn a_new_leader_brings_a_long_running_task_back_first() {
+    let (mut sched, running) = full_fleet();
+    let record = JobRecord {
+        phase: Phase::Active,
+        ended: Timestamp(0),
+        tasks: vec![TaskRecord {
+            run: 1,
+            ..TaskRecord::default()
+        }],
+    };
+    let lasting = job("patient", vec![long_running(step(1, 1000, 100))]);
+    let from = Millis(20_000);
+    sched.add_job(
+        id("long"),
+        lasting,
+        Some((record, 3)),
+        from,
+        Timestamp(from.0),
+    );
+
+    let back = stream_until_start(&mut sched, "long", &running, Vec::new(), from);
+
+    assert_eq!(back, Some(from + Millis(TICK)));
+}
+
+/// Guards against new long-running tasks that go before urgent ones on a full fleet, where they may
+/// never end.
+#[test]
+fn a_new_long_running_task_waits_for_urgent_ones_on_a_full_fleet() {
+    let (mut sched, running) = full_fleet();
+    let filler = job("urgent", vec![step(2, 1000, 100)]);
+    submit(&mut sched, "filler", filler, Millis(0));
+    let ended = start_all(&mut sched, 2, Millis(0));
+    let lasting = job("patient", vec![long_running(step(1, 1000, 100))]);
+    submit(&mut sched, "new", lasting, Millis(0));
+
+    let started = stream_until_start(&mut sched, "new", &running, ended, Millis(0));
+
+    assert_eq!(started, None);
+}
+
 /// Plans and commits; returns the starts after the worker has confirmed them.
 fn start_all(sched: &mut Scheduler, revision: u64, now: Millis) -> Vec<StartCommand> {
     let started = starts(&plan_and_commit(sched, revision, now));
