Count failed reads for each page of a load

Cause: a leader gave its load up after 8 failed reads in all. A state of 20 pages in a store that refuses every second read took more, so each new leader gave up in turn and none began to work.

Change: the failures of one page count; a page that is read begins anew.

--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -10,7 +10,7 @@
 use crate::prelude::*;
 use crate::scheduler::{JobRecord, JobSpec, Scheduler};
 
-/// Failed reads of pages after which a load is given up.
+/// Failed reads of one page after which a load is given up.
 const MAX_FAILURES: usize = 8;
 
 /// Loads jobs, records and workers. Returns the revisions from which to watch jobs and workers.
@@ -160,6 +160,7 @@
                 continue;
             }
         };
+        failures = 0;
         let at = *first_at.get_or_insert(page.at);
         let last = page.items.last().map(|item| item.key.clone());
         items.extend(page.items);
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -177,3 +177,23 @@
 
     assert_eq!((bad, good), (400, 200));
 }
+
+/// Guards against a leader that never begins to work, because a large state takes many reads and
+/// the failures of all of them count together.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_large_state_is_loaded_although_every_second_read_is_refused() {
+    let site = Site::start("pages", 1, 1).await;
+    for at in 0..40 {
+        site.store
+            .put(&format!("servers/i-x{at}"), &json!({"service": 7}));
+    }
+    site.store.refuse_every_second_page();
+
+    site.store.remove("sapphirecroft/leader");
+    site.submit(0, "00000000000000f1", &one_step_job(1, 400))
+        .await;
+    site.wait_for_state(0, "00000000000000f1", "completed")
+        .await;
+
+    assert_started_once(&site, "00000000000000f1", 1);
+}
--- a/tests/platform_support/store.rs
+++ b/tests/platform_support/store.rs
@@ -31,6 +31,9 @@
     leases: HashMap<u64, (Instant, Duration)>,
     down: bool,
     drop_write_responses: usize,
+    /// Every second read of a page is refused.
+    refuse_pages: bool,
+    page_reads: usize,
     /// The history up to this revision is compacted.
     compacted_until: u64,
 }
@@ -70,6 +73,11 @@
         self.state.lock().drop_write_responses = count;
     }
 
+    /// Refuses every second read of a page from now on.
+    pub fn refuse_every_second_page(&self) {
+        self.state.lock().refuse_pages = true;
+    }
+
     /// Compacts all history, so that watches have to start again.
     pub fn compact_history(&self) {
         let mut state = self.state.lock();
@@ -238,6 +246,10 @@
             Some((StatusCode::OK, shown))
         }
         "/kv-range" => {
+            state.page_reads += 1;
+            if state.refuse_pages && state.page_reads.is_multiple_of(2) {
+                return Some((StatusCode::SERVICE_UNAVAILABLE, json!({})));
+            }
             let (prefix, after) = (param("prefix"), param("after"));
             let items: Vec<Value> = state
                 .items
