Stop the run of a task whose earlier run turns out to be done

A worker was silent until its runs had lapsed, and the task started again elsewhere. When the worker answered, its list showed the first run as done, and the second, unanswered start was repeated: a start of a task that was done.

Change: the completion stops the run that has replaced its own.

--- a/src/scheduler/worker_events.rs
+++ b/src/scheduler/worker_events.rs
@@ -149,8 +149,11 @@
                     }
                 }
                 found.done = found.tasks.iter().filter(|task| task.done).count();
+                let replaced_by = found.tasks[index].place.clone();
                 if job.is_done() {
                     self.end_job(&key.job, Phase::Completed, now, wall);
+                } else if let Some(place) = replaced_by {
+                    self.stop(&place.worker, key, now);
                 }
             }
             RunOutcome::Failed if current && !step.long_running => {
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -603,3 +603,36 @@
     assert_eq!(started.len(), 1);
     assert_eq!(started[0].task.job, id("long"));
 }
+
+/// Guards against a start of a task that is done: its first run ended on a worker that was silent
+/// until the leases had lapsed, and the unanswered start of the second run is repeated.
+#[test]
+fn a_late_completion_stops_the_run_that_replaced_it() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, 8000), Millis(0));
+    let mut next = step(1, 1000, 1000);
+    next.after = vec![0];
+    let spec = job("urgent", vec![step(1, 1000, 1000), next]);
+    submit(&mut sched, "a", spec, Millis(0));
+    let (task, run) = start_all(&mut sched, 1, Millis(0)).remove(0);
+    sched.on_poll_failure(&worker_id(1), "silent");
+    let lapsed = Millis(7000);
+    register(&mut sched, entry(2, 1, 8000, 8000), lapsed);
+    sched.tick(lapsed);
+    let second = starts(&plan_and_commit(&mut sched, 2, lapsed)).remove(0);
+    let now = lapsed + Millis(500);
+    respond(&mut sched, &second, StartResponse::Unknown, now);
+
+    let report = WorkerReport {
+        ended: vec![completion(1, &task, run, RunOutcome::Done)],
+        ..WorkerReport::default()
+    };
+    deliver_report(&mut sched, &worker_id(1), 1, now, report);
+    let after = now + Millis(500);
+    sched.tick(after);
+    let commands = plan_and_commit(&mut sched, 3, after);
+
+    let again = starts(&commands);
+    assert!(again.iter().all(|start| start.task != task), "{commands:?}");
+    assert!(stops(&commands).iter().any(|stop| stop.run == second.run));
+}
