Keep the order of the jobs at the front of a resumed round

Cause: a resumed round spent half of its searches before the place where the last one was cut short and passed over the jobs in between, so resources that had become free went to jobs behind them.

Change: a round has all its searches from the front, and 8 further failed searches and 2 further searches for preemption from there on.

Measured: the tests of scheduler_fairness pass with the same bounds.

--- a/src/scheduler/round.rs
+++ b/src/scheduler/round.rs
@@ -11,10 +11,16 @@
 /// machine from renewing its lease.
 const MAX_FAILED_SEARCHES: usize = 30;
 
+/// Further failed searches from where the last round was cut short.
+const MAX_RESUMED_SEARCHES: usize = 8;
+
 /// Maximum number of preemption searches in one round: each looks at the runs of all workers, and a
 /// round has to stay short on a small machine.
 const MAX_PREEMPTIONS: usize = 8;
 
+/// Further preemption searches from where the last round was cut short.
+const MAX_RESUMED_PREEMPTIONS: usize = 2;
+
 /// Steps that find no worker, as one of them has found none.
 struct UnplaceableSteps {
     service: String,
@@ -75,8 +81,16 @@
             unplaceable: Vec::new(),
             not_preemptible: Vec::new(),
             claims: HashMap::new(),
-            failed_searches: SearchBudget::new(MAX_FAILED_SEARCHES, resume.placement),
-            preemptions: SearchBudget::new(MAX_PREEMPTIONS, resume.preemption),
+            failed_searches: SearchBudget::new(
+                MAX_FAILED_SEARCHES,
+                MAX_RESUMED_SEARCHES,
+                resume.placement,
+            ),
+            preemptions: SearchBudget::new(
+                MAX_PREEMPTIONS,
+                MAX_RESUMED_PREEMPTIONS,
+                resume.preemption,
+            ),
             long_before: None,
             spare_services: HashSet::new(),
         }
--- a/src/scheduler/search_budget.rs
+++ b/src/scheduler/search_budget.rs
@@ -8,11 +8,14 @@
 
 /// Number of searches that one round may take.
 ///
-/// A round that was cut short leaves jobs untried. The next one spends at most half of the budget
-/// on the jobs before them and the rest from there on, so that each job is tried in turn.
+/// A round that was cut short leaves jobs untried. The next one has a few more searches from there
+/// on, so that each job is tried in turn; the order of the jobs at the front stays as it is.
 #[derive(Debug)]
 pub(super) struct SearchBudget {
+    /// Searches from the front of the order.
     most: usize,
+    /// Further searches from `resume_at` on.
+    more: usize,
     used: usize,
     /// First job that the last round left untried.
     resume_at: Option<Turn>,
@@ -22,9 +25,10 @@
 
 impl SearchBudget {
     /// Creates the budget of a round; `resume_at` is where the last one was cut short.
-    pub fn new(most: usize, resume_at: Option<Turn>) -> Self {
+    pub fn new(most: usize, more: usize, resume_at: Option<Turn>) -> Self {
         Self {
             most,
+            more,
             used: 0,
             resume_at,
             untried: None,
@@ -38,13 +42,17 @@
 
     /// Returns whether searches are left for the job whose turn it is; the jobs come in order.
     pub fn has_left(&mut self, turn: &Turn) -> bool {
-        let is_before = self.resume_at.as_ref().is_some_and(|at| turn < at);
-        if is_before {
-            return self.used < self.most / 2;
-        }
         if self.used < self.most {
             return true;
         }
+        let is_resumed = match &self.resume_at {
+            Some(at) if turn < at => return false,
+            Some(_) => true,
+            None => false,
+        };
+        if is_resumed && self.used < self.most + self.more {
+            return true;
+        }
         self.untried.get_or_insert_with(|| turn.clone());
         false
     }
