--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -1,24 +1,21 @@
 //! Assigns ready tasks to workers, the most urgent job first.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
-use super::order::{Rank, WaitingJob, rank};
+use super::order::{Group, Rank, WaitingJob, rank};
 use super::round::Round;
-use super::selection::PlacementRequest;
+use super::search_budget::Turn;
+use super::selection::{NotFound, PlacementRequest};
 use super::state::new_run;
 use super::worker::RunState;
-use super::{Job, Queue, Scheduler};
+use super::{Job, Queue, Scheduler, TaskKey};
 use crate::prelude::*;
 
 /// Maximum number of tasks assigned in one round, so that a round stays short on a small machine.
 const MAX_ASSIGNED: usize = 200;
 
-/// Number of failed searches after which a round ends. Later steps rarely fit either, and a round
-/// over a long queue would keep a small machine from renewing its lease.
-const MAX_FAILED_SEARCHES: usize = 30;
-
-/// Maximum time that a job waits with nothing running while capacity is free; after 3 s it counts
-/// as lost.
+/// Maximum time that a job waits with nothing running while capacity is free, and that a
+/// long-running task stays away after a run; after 3 s and 6 s they count as lost.
 const MAX_IDLE: Millis = Millis(1500);
 
 /// Share of reserved CPU, in thousandths, below which capacity suffices for every job; jobs count
@@ -34,27 +31,26 @@
         }
         self.replan = false;
         self.refresh_margins();
-        let mut round = Round::default();
-        if self.has_spare_capacity() {
-            round.overdue_before = now.0.checked_sub(MAX_IDLE.0).map(Millis);
-        }
+        let mut round = Round::new(std::mem::take(&mut self.resume));
+        round.long_before = now.0.checked_sub(MAX_IDLE.0).map(Millis);
+        round.spare_services = self.spare_services();
         let ranked = self.ranked(&round, now);
         let mut assigned = 0;
-        for id in ranked {
+        for turn in ranked {
             if assigned >= MAX_ASSIGNED {
                 self.replan = true;
                 break;
             }
-            if round.failed_searches >= MAX_FAILED_SEARCHES {
-                break;
+            if round.failed_searches.has_left(&turn) {
+                assigned += self.plan_job(&turn, &mut round, now);
             }
-            assigned += self.plan_job(&id, &mut round, now);
         }
+        self.resume = round.finish();
         assigned
     }
 
     /// Returns the jobs with a task to assign, the most urgent first.
-    fn ranked(&mut self, round: &Round, now: Millis) -> Vec<JobId> {
+    fn ranked(&mut self, round: &Round, now: Millis) -> Vec<Turn> {
         let mut waiting = Vec::new();
         for id in &self.active {
             if self
@@ -65,22 +61,36 @@
                 waiting.push(id);
             }
         }
-        let mut ranked: Vec<(Rank, &JobId)> = waiting
-            .into_iter()
-            .filter_map(|id| Some((self.rank(self.jobs.get(id)?, round, now)?, id)))
-            .collect();
+        let mut ranked: Vec<Turn> = Vec::new();
+        for id in waiting {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let away_since = round
+                .long_before
+                .and_then(|before| job.away_longest(before));
+            ranked.extend(away_since.map(|since| (Rank::returning(since), id.clone())));
+            ranked.extend(self.rank(job, round, now).map(|rank| (rank, id.clone())));
+        }
         ranked.sort_unstable();
-        ranked.into_iter().map(|(_, id)| id.clone()).collect()
+        ranked
     }
 
-    /// Returns whether so much of the fleet is unreserved that no job has reason to wait.
-    fn has_spare_capacity(&self) -> bool {
-        let open = self.workers.values().filter(|worker| worker.accepts_work());
-        let (reserved, capacity) = open.fold((0, 0), |(reserved, capacity), worker| {
-            let whole = worker.reserved.cpu.0 + worker.free().cpu.0;
-            (reserved + worker.reserved.cpu.0, capacity + whole)
-        });
-        reserved * 1000 < capacity * SPARE_PERMILLE
+    /// Returns the services of whose workers so much is unreserved that no job has reason to wait.
+    fn spare_services(&self) -> HashSet<String> {
+        let mut loads: HashMap<&str, (u64, u64)> = HashMap::new();
+        for worker in self.workers.values() {
+            if let Some(entry) = worker.entry.as_ref().filter(|entry| !entry.draining) {
+                let (reserved, capacity) = loads.entry(&entry.service).or_default();
+                *reserved += worker.reserved.cpu.0;
+                *capacity += worker.reserved.cpu.0 + worker.free().cpu.0;
+            }
+        }
+        loads
+            .into_iter()
+            .filter(|(_, (reserved, capacity))| reserved * 1000 < capacity * SPARE_PERMILLE)
+            .map(|(service, _)| service.to_string())
+            .collect()
     }
 
     fn rank(&self, job: &Job, round: &Round, now: Millis) -> Option<Rank> {
@@ -89,7 +99,7 @@
         let waiting = WaitingJob {
             priority: queue.priority,
             long_running: job.is_long_running(),
-            overdue: round.is_overdue(job),
+            overdue: round.is_overdue(job, &queue.service),
             objective_at: job.objective_at,
             objective_span: job.objective_span,
             work,
@@ -98,7 +108,8 @@
         Some(rank(&waiting, now))
     }
 
-    fn plan_job(&mut self, id: &JobId, round: &mut Round, now: Millis) -> usize {
+    fn plan_job(&mut self, turn: &Turn, round: &mut Round, now: Millis) -> usize {
+        let (_, id) = turn;
         let Some(mut job) = self.jobs.remove(id) else {
             return 0;
         };
@@ -107,7 +118,7 @@
         if let Some(queue) = queues.queues.get(&job.spec.queue) {
             for instance in 0..job.instances.len() {
                 if job.instances[instance].has_open_tasks() && job.is_ready(instance, now) {
-                    assigned += self.plan_instance(&mut job, queue, instance, round, now);
+                    assigned += self.plan_instance(&mut job, queue, instance, turn, round, now);
                 }
             }
         }
@@ -124,13 +135,14 @@
         job: &mut Job,
         queue: &Queue,
         instance: usize,
+        turn: &Turn,
         round: &mut Round,
         now: Millis,
     ) -> usize {
         let spec = job.spec.clone();
         let step = &spec.steps[job.instances[instance].step as usize];
-        let open: Vec<usize> = job.instances[instance].open_tasks().collect();
-        if step.gang && open.len() < job.instances[instance].tasks.len() {
+        let open = tasks_to_place(job, instance, turn, round);
+        if open.is_empty() {
             return 0;
         }
         let mut tasks_per_worker: HashMap<WorkerId, u32> = HashMap::new();
@@ -153,6 +165,7 @@
         let advice = queue
             .advice
             .map(|_| self.advice.get(&step_key).cloned().unwrap_or_default());
+        let before = round.mark();
         let mut placed = Vec::new();
         for index in open {
             let failures = job.instances[instance].tasks[index].failures;
@@ -162,20 +175,16 @@
                 impact: &impact,
                 tasks_per_worker: &tasks_per_worker,
                 last_attempt: failures > 0 && failures + 1 >= queue.max_attempts,
-                overdue: round.is_overdue(job),
+                overdue: round.is_overdue(job, &queue.service),
                 advice: advice.as_ref(),
             };
-            let found = if round.is_known_to_fail(step, &queue.service) && !request.overdue {
+            let found = if round.is_known_to_fail(&request) {
                 None
             } else {
-                let found = self.select_worker(&request, now);
-                if found.is_none() {
-                    round.record_failed_search(step, &queue.service, request.is_unconstrained());
-                }
-                found
+                self.search(&request, round, now)
             };
             let Some(worker) = found else {
-                if step.best_effort || !self.preempt(&request, queue.priority, round, now) {
+                if step.best_effort || !self.preempt(&request, queue.priority, turn, round, now) {
                     break;
                 }
                 continue;
@@ -206,16 +215,68 @@
         if queue.advice.is_some() && job.instances[instance].has_open_tasks() {
             self.request_advice(job, instance, &queue.service, now);
         }
-        if step.gang && placed.len() < job.instances[instance].tasks.len() {
-            for (worker, key, index) in placed {
-                if let Some(found) = self.workers.get_mut(&worker) {
-                    found.remove_run(&key);
-                }
-                self.refresh_margin(&worker);
-                job.instances[instance].tasks[index].place = None;
+        if step.gang && placed.len() < step.tasks as usize {
+            if !placed.is_empty() && round.forget_since(before) {
+                let overdue = round.is_overdue(job, &queue.service);
+                round.record_unplaceable(step, &queue.service, overdue, placed.len() + 1);
             }
+            self.withdraw(job, instance, placed);
             return 0;
         }
         placed.len()
     }
+
+    /// Takes the planned runs of an incomplete gang back.
+    fn withdraw(
+        &mut self,
+        job: &mut Job,
+        instance: usize,
+        placed: Vec<(WorkerId, TaskKey, usize)>,
+    ) {
+        for (worker, key, index) in placed {
+            if let Some(found) = self.workers.get_mut(&worker) {
+                found.remove_run(&key);
+            }
+            self.refresh_margin(&worker);
+            job.instances[instance].tasks[index].place = None;
+        }
+    }
+
+    /// Searches for a worker and records a failure in the findings of the round.
+    fn search(
+        &self,
+        request: &PlacementRequest,
+        round: &mut Round,
+        now: Millis,
+    ) -> Option<WorkerId> {
+        match self.select_worker(request, now) {
+            Ok(worker) => Some(worker),
+            Err(failure) => {
+                round.failed_searches.spend();
+                if failure == NotFound::NoRoom {
+                    round.record_unplaceable(request.step, request.service, request.overdue, 1);
+                }
+                None
+            }
+        }
+    }
+}
+
+/// Returns the tasks of a step that are to be placed when it is the turn of its job.
+fn tasks_to_place(job: &Job, instance: usize, turn: &Turn, round: &Round) -> Vec<usize> {
+    let gang = job.step(instance).gang;
+    let open: Vec<usize> = job.instances[instance].open_tasks().collect();
+    if gang && open.len() < job.instances[instance].tasks.len() {
+        return Vec::new();
+    }
+    let (rank, _) = turn;
+    let Some(before) = round.long_before.filter(|_| rank.group == Group::Returning) else {
+        return open;
+    };
+    let away: Vec<usize> = job
+        .tasks_away(instance, before)
+        .map(|(index, _)| index)
+        .collect();
+    // The members of a gang are placed together.
+    if gang && !away.is_empty() { open } else { away }
 }
