Withhold starts that exceed a shrunk capacity

Cause: a start was checked against the capacity only when it was planned.

Change: `send_start` checks that the reservations of all runs but those whose start has not been sent fit the present capacity, also before a repetition. A run that does not fit is put back: a planned one is released, one that was sent is stopped. Runs at work on a shrunk worker are left alone.

Looked at and found right: a successor reads the present entries and counts the recorded runs (guarded now); a worker that grows triggers planning (guarded now); a worker of capacity zero keeps no task from other workers (guarded now).

Measured: tests/capacity_cases.rs; a_shrunk_worker_gets_no_start_beyond_its_ capacity, an_unanswered_start_is_not_repeated_beyond_the_capacity and a_worker_that_shrank_while_its_entry_lapsed_is_not_overfilled failed before and pass now; the four guards named above passed before.

--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -145,17 +145,24 @@
 
     /// Sends the start of a run, or retries it.
     pub(super) fn send_start(&mut self, id: &WorkerId, key: &TaskKey, now: Millis) {
-        // The worker may have started to drain since the run was planned.
-        if self
-            .workers
-            .get(id)
-            .is_some_and(|worker| !worker.accepts_work())
-        {
-            self.stop(id, key, now);
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        if !worker.runs.contains_key(key) {
+            return;
+        }
+        // The worker may have started to drain, or its capacity may have shrunk, since the run was
+        // planned or last sent.
+        if !worker.accepts_work() {
+            self.put_back(id, key, "worker accepts no work", now);
+            return;
+        }
+        if !worker.has_room_to_start(key) {
+            self.put_back(id, key, "capacity has shrunk", now);
             return;
         }
         let Some(ticket) = self.ticket_for(id, key, now) else {
-            self.stop(id, key, now);
+            self.put_back(id, key, "no valid ticket", now);
             return;
         };
         let (Some(job), Some(worker)) = (self.jobs.get_mut(&key.job), self.workers.get_mut(id))
@@ -206,6 +213,13 @@
         }));
     }
 
+    /// Ends a run whose start may not be sent.
+    fn put_back(&mut self, id: &WorkerId, key: &TaskKey, reason: &str, now: Millis) {
+        tracing::info!(task = %key, worker = %id, reason, "start is withheld; the task is put back");
+        self.replan = true;
+        self.stop(id, key, now);
+    }
+
     /// Returns the ticket for a start, empty if the queue needs none; `None` if a required ticket
     /// is missing.
     fn ticket_for(&self, id: &WorkerId, key: &TaskKey, now: Millis) -> Option<String> {
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -205,14 +205,40 @@
             .is_some_and(|entry| entry.service == service)
     }
 
-    /// Returns the resources that no run reserves.
-    pub(super) fn free(&self) -> Resources {
-        let capacity = self
-            .entry
+    /// Returns the resources that the worker offers at present; they may be less than its runs
+    /// reserve.
+    pub(super) fn capacity(&self) -> Resources {
+        self.entry
             .as_ref()
             .map(|entry| entry.capacity)
-            .unwrap_or_default();
-        capacity.saturating_sub(&self.reserved)
+            .unwrap_or_default()
+    }
+
+    /// Returns the resources that no run reserves.
+    pub(super) fn free(&self) -> Resources {
+        self.capacity().saturating_sub(&self.reserved)
+    }
+
+    /// Returns whether the worker stays within its capacity with one more reservation, once the
+    /// runs that hold `released` have ended.
+    pub(super) fn has_room_for(&self, reservation: &Resources, released: &Resources) -> bool {
+        self.reserved
+            .saturating_sub(released)
+            .checked_add(reservation)
+            .is_some_and(|sum| sum.fits(&self.capacity()))
+    }
+
+    /// Returns whether a start of this run leaves the worker within its capacity. Other runs whose
+    /// start has not been sent do not count; they are checked when it is.
+    pub(super) fn has_room_to_start(&self, key: &TaskKey) -> bool {
+        let unsent = self
+            .runs
+            .iter()
+            .filter(|(other, run)| *other != key && matches!(run.state, RunState::Planned { .. }));
+        let unsent = unsent.fold(Resources::default(), |sum, (_, run)| {
+            sum.checked_add(&run.reservation).unwrap_or(sum)
+        });
+        self.has_room_for(&Resources::default(), &unsent)
     }
 
     /// Estimates the current reading of the worker's clock.
--- /dev/null
+++ b/tests/capacity_cases.rs
@@ -0,0 +1,232 @@
+//! Tests for workers whose capacity shrinks and grows while they run.
+
+mod scheduler_support;
+
+use sapphirecroft::prelude::*;
+use sapphirecroft::scheduler::{
+    JobSpec, RunCompletion, RunOutcome, RunStatus, Scheduler, StartCommand, StartResponse,
+    WorkerReport,
+};
+use scheduler_support::*;
+
+const MEMORY: u64 = 64_000;
+
+fn simple_job(queue: &str, tasks: u32, cpu: u64) -> JobSpec {
+    job(queue, vec![step(tasks, cpu, 1000)])
+}
+
+fn set_capacity(sched: &mut Scheduler, at: usize, cpu: u64, now: Millis) {
+    sched.set_entry(entry(at, 1, cpu, MEMORY), now);
+}
+
+/// Plans and commits; the workers confirm all starts.
+fn start_all(sched: &mut Scheduler, revision: u64, now: Millis) -> Vec<StartCommand> {
+    let started = starts(&plan_and_commit(sched, revision, now));
+    for start in &started {
+        respond(sched, start, StartResponse::Started, now);
+    }
+    started
+}
+
+fn running_status(start: &StartCommand, percent: u32, gauge: u64) -> RunStatus {
+    RunStatus {
+        task: start.task.clone(),
+        run: start.run,
+        checkpoint: String::new(),
+        percent,
+        gauge,
+    }
+}
+
+fn report_running(runs: &[(&StartCommand, u32, u64)]) -> WorkerReport {
+    let running = runs
+        .iter()
+        .map(|(start, percent, gauge)| running_status(start, *percent, *gauge))
+        .collect();
+    WorkerReport {
+        running,
+        ..WorkerReport::default()
+    }
+}
+
+/// Guards against a start that was planned before its worker shrank and exceeds the capacity when
+/// it is sent.
+#[test]
+fn a_shrunk_worker_gets_no_start_beyond_its_capacity() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, MEMORY), Millis(0));
+    submit(&mut sched, "a", simple_job("urgent", 4, 2000), Millis(0));
+    sched.plan(Millis(0));
+    let batch = sched.next_batch().expect("a record waits");
+
+    set_capacity(&mut sched, 1, 5000, Millis(10));
+    sched.on_commit(&batch, 1, Millis(20));
+    let sent = starts(&sched.take_commands());
+    register(&mut sched, entry(2, 1, 8000, MEMORY), Millis(30));
+    let moved = starts(&plan_and_commit(&mut sched, 2, Millis(30)));
+
+    assert_eq!(sent.len(), 2, "{sent:?}");
+    assert!(moved.iter().all(|start| start.worker == worker_id(2)));
+    assert_eq!(moved.len(), 2, "tasks that were put back start elsewhere");
+}
+
+/// Guards against an unanswered start that is repeated on a worker that has shrunk since: if the
+/// worker has not executed it, the repetition exceeds the capacity.
+#[test]
+fn an_unanswered_start_is_not_repeated_beyond_the_capacity() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, MEMORY), Millis(0));
+    submit(&mut sched, "a", simple_job("urgent", 2, 4000), Millis(0));
+    let sent = starts(&plan_and_commit(&mut sched, 1, Millis(0)));
+    respond(&mut sched, &sent[0], StartResponse::Started, Millis(5));
+    respond(&mut sched, &sent[1], StartResponse::Unknown, Millis(500));
+
+    set_capacity(&mut sched, 1, 4000, Millis(600));
+    sched.tick(Millis(1000));
+    let commands = sched.take_commands();
+
+    assert!(starts(&commands).is_empty(), "{commands:?}");
+    let stopped: Vec<_> = stops(&commands).into_iter().map(|stop| stop.task).collect();
+    assert_eq!(stopped, [sent[1].task.clone()]);
+}
+
+/// Guards against a repetition that is withheld although the run fits the shrunk worker.
+#[test]
+fn an_unanswered_start_is_repeated_within_the_capacity() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, MEMORY), Millis(0));
+    submit(&mut sched, "a", simple_job("urgent", 1, 4000), Millis(0));
+    let sent = starts(&plan_and_commit(&mut sched, 1, Millis(0)));
+    respond(&mut sched, &sent[0], StartResponse::Unknown, Millis(500));
+
+    set_capacity(&mut sched, 1, 4000, Millis(600));
+    sched.tick(Millis(1000));
+    let commands = sched.take_commands();
+
+    assert_eq!(starts(&commands).len(), 1, "{commands:?}");
+    assert!(stops(&commands).is_empty(), "{commands:?}");
+}
+
+/// Guards against a successor that fills a worker to its former capacity, or that does not count
+/// the runs that the former leader has recorded.
+#[test]
+fn a_successor_counts_recorded_runs_against_the_present_capacity() {
+    let mut first = leader(Millis(0));
+    register(&mut first, entry(1, 1, 8000, MEMORY), Millis(0));
+    let spec = simple_job("urgent", 4, 2000);
+    submit(&mut first, "a", spec.clone(), Millis(0));
+    first.plan(Millis(0));
+    let batch = first.next_batch().expect("a record waits");
+    let record = decode_record(&batch.writes[0].value);
+
+    let mut second = leader(Millis(100));
+    second.add_job(
+        id("a"),
+        spec,
+        Some((record, 3)),
+        Millis(100),
+        Timestamp(100),
+    );
+    submit(&mut second, "b", simple_job("urgent", 4, 1000), Millis(100));
+    second.set_entry(entry(1, 1, 3000, MEMORY), Millis(100));
+    deliver_report(
+        &mut second,
+        &worker_id(1),
+        1,
+        Millis(110),
+        WorkerReport::default(),
+    );
+    let started = starts(&plan_and_commit(&mut second, 4, Millis(120)));
+
+    let used: u64 = started
+        .iter()
+        .map(|start| {
+            if start.task.job == id("a") {
+                2000
+            } else {
+                1000
+            }
+        })
+        .sum();
+    assert_eq!(used, 3000, "{started:?}");
+}
+
+/// Guards against starts that are sent while the entry of a worker has lapsed, and against a start
+/// by the former entry once a smaller one is back.
+#[test]
+fn a_worker_that_shrank_while_its_entry_lapsed_is_not_overfilled() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, MEMORY), Millis(0));
+    submit(&mut sched, "a", simple_job("urgent", 4, 2000), Millis(0));
+    sched.plan(Millis(0));
+    let batch = sched.next_batch().expect("a record waits");
+
+    sched.remove_entry(&worker_id(1));
+    set_capacity(&mut sched, 1, 2000, Millis(10));
+    sched.on_commit(&batch, 1, Millis(20));
+    let mut sent = starts(&sched.take_commands());
+    sent.extend(starts(&plan_and_commit(&mut sched, 2, Millis(30))));
+
+    assert_eq!(sent.len(), 1, "{sent:?}");
+}
+
+/// Guards against room that stays unused after a worker has grown again, and against runs that are
+/// stopped because their worker has shrunk.
+#[test]
+fn a_grown_worker_is_used_at_once() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, MEMORY), Millis(0));
+    submit(&mut sched, "a", simple_job("urgent", 2, 4000), Millis(0));
+    let first = start_all(&mut sched, 1, Millis(0));
+    set_capacity(&mut sched, 1, 0, Millis(10));
+    submit(&mut sched, "b", simple_job("urgent", 2, 4000), Millis(20));
+    let running: Vec<_> = first.iter().map(|start| (start, 10, 0)).collect();
+    deliver_report(
+        &mut sched,
+        &worker_id(1),
+        1,
+        Millis(30),
+        report_running(&running),
+    );
+    let shrunk = plan_and_commit(&mut sched, 2, Millis(30));
+    let ended = first
+        .iter()
+        .zip(1..)
+        .map(|(start, sequence)| RunCompletion {
+            sequence,
+            task: start.task.clone(),
+            run: start.run,
+            outcome: RunOutcome::Done,
+            checkpoint: String::new(),
+        });
+    let report = WorkerReport {
+        ended: ended.collect(),
+        ..WorkerReport::default()
+    };
+    deliver_report(&mut sched, &worker_id(1), 1, Millis(40), report);
+    let empty = plan_and_commit(&mut sched, 3, Millis(40));
+
+    set_capacity(&mut sched, 1, 8000, Millis(50));
+    let needs_plan = sched.needs_plan();
+    let grown = starts(&plan_and_commit(&mut sched, 4, Millis(50)));
+
+    assert!(starts(&shrunk).is_empty() && stops(&shrunk).is_empty());
+    assert!(starts(&empty).is_empty());
+    assert!(needs_plan);
+    assert_eq!(grown.len(), 2);
+}
+
+/// Guards against a worker of capacity zero that keeps tasks from other workers.
+#[test]
+fn an_empty_worker_of_capacity_zero_does_not_keep_others_from_work() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 0, 0), Millis(0));
+    register(&mut sched, entry(2, 1, 4000, MEMORY), Millis(0));
+    submit(&mut sched, "a", simple_job("urgent", 2, 2000), Millis(0));
+
+    let started = starts(&plan_and_commit(&mut sched, 1, Millis(0)));
+    sched.tick(Millis(3000));
+
+    assert_eq!(started.len(), 2);
+    assert!(started.iter().all(|start| start.worker == worker_id(2)));
+}
