Put back a gang as a whole if one member's start is withheld

Cause: when the start of a gang's member was withheld (worker draining, shrunk or without a ticket), the other members started and waited for it in vain, until they ended `alone`.

Change: all members are put back with it; those that were sent are stopped.

--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -213,11 +213,37 @@
         }));
     }
 
-    /// Ends a run whose start may not be sent.
+    /// Ends a run whose start may not be sent, and the other members of its gang, which would wait
+    /// for it in vain.
     fn put_back(&mut self, id: &WorkerId, key: &TaskKey, reason: &str, now: Millis) {
         tracing::info!(task = %key, worker = %id, reason, "start is withheld; the task is put back");
         self.replan = true;
         self.stop(id, key, now);
+        for (worker, member) in self.gang_members(key) {
+            self.stop(&worker, &member, now);
+        }
+    }
+
+    /// Returns the runs of a task's gang with their workers; empty if the task has none.
+    fn gang_members(&self, key: &TaskKey) -> Vec<(WorkerId, TaskKey)> {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return Vec::new();
+        };
+        let gang = job
+            .instance_of(key)
+            .filter(|instance| job.step(*instance).gang);
+        let Some(instance) = gang else {
+            return Vec::new();
+        };
+        let tasks = job.instances[instance].tasks.iter().enumerate();
+        tasks
+            .filter_map(|(index, task)| {
+                Some((
+                    task.place.as_ref()?.worker.clone(),
+                    job.key(instance, index),
+                ))
+            })
+            .collect()
     }
 
     /// Returns the ticket for a start, empty if the queue needs none; `None` if a required ticket
--- a/tests/capacity_cases.rs
+++ b/tests/capacity_cases.rs
@@ -5,7 +5,7 @@
 use sapphirecroft::prelude::*;
 use sapphirecroft::scheduler::{
     JobSpec, RunCompletion, RunOutcome, RunStatus, Scheduler, StartCommand, StartResponse,
-    WorkerReport,
+    StepSpec, WorkerReport,
 };
 use scheduler_support::*;
 
@@ -107,6 +107,46 @@
     assert!(stops(&commands).is_empty(), "{commands:?}");
 }
 
+/// Guards against a gang of which some members start and wait for the others in vain, because one
+/// member's worker has shrunk since the gang was planned.
+#[test]
+fn a_gang_whose_member_no_longer_fits_is_put_back_as_a_whole() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 4000, MEMORY), Millis(0));
+    register(&mut sched, entry(2, 1, 4000, MEMORY), Millis(0));
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 4000, 1000)
+    };
+    submit(&mut sched, "a", job("urgent", vec![gang]), Millis(0));
+    sched.plan(Millis(0));
+    let batch = sched.next_batch().expect("a record waits");
+
+    set_capacity(&mut sched, 2, 1000, Millis(10));
+    sched.on_commit(&batch, 1, Millis(20));
+    let commands = sched.take_commands();
+    for stop in stops(&commands) {
+        sched.on_stop_response(&stop.worker, &stop.task, stop.run, true, Millis(25));
+    }
+    deliver_report(
+        &mut sched,
+        &worker_id(1),
+        1,
+        Millis(30),
+        WorkerReport::default(),
+    );
+    set_capacity(&mut sched, 2, 4000, Millis(40));
+    let again = starts(&plan_and_commit(&mut sched, 2, Millis(40)));
+
+    let started: Vec<_> = starts(&commands)
+        .into_iter()
+        .map(|start| start.task)
+        .collect();
+    let stopped: Vec<_> = stops(&commands).into_iter().map(|stop| stop.task).collect();
+    assert_eq!(started, stopped, "members that have started are stopped");
+    assert_eq!(again.len(), 2, "the gang starts once it fits again");
+}
+
 /// Guards against a successor that fills a worker to its former capacity, or that does not count
 /// the runs that the former leader has recorded.
 #[test]
