Place nothing on a worker that is above its capacity

Cause: free resources were computed for each resource by itself. A worker whose reserved CPU exceeds its shrunk capacity still had free memory, so a best-effort task, which reserves no CPU, started there and left the worker above its capacity.

Change: `Worker::has_room_for` asks whether all reservations and the new one fit the capacity.

Measured: a_worker_above_its_capacity_gets_no_best_effort_task failed before and passes now.

--- a/src/scheduler/selection.rs
+++ b/src/scheduler/selection.rs
@@ -38,7 +38,9 @@
         let reservation = request.step.reservation();
         let mut best: Option<(u64, &Worker)> = None;
         for worker in self.workers.values() {
-            if !reservation.fits(&worker.free()) || !request.allows(worker, now) {
+            if !worker.has_room_for(&reservation, &Resources::default())
+                || !request.allows(worker, now)
+            {
                 continue;
             }
             let suspect = worker.health.is_suspect(now);
--- a/tests/capacity_cases.rs
+++ b/tests/capacity_cases.rs
@@ -147,6 +147,38 @@
     assert_eq!(again.len(), 2, "the gang starts once it fits again");
 }
 
+/// Guards against a best-effort task on a worker whose reserved CPU exceeds the capacity: a start
+/// leaves the worker above its capacity, whatever the task itself reserves.
+#[test]
+fn a_worker_above_its_capacity_gets_no_best_effort_task() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, MEMORY), Millis(0));
+    let serving = StepSpec {
+        long_running: true,
+        image: "s".to_string(),
+        tail_target: Some(Millis(50)),
+        ..step(1, 8000, 1000)
+    };
+    submit(&mut sched, "s", job("urgent", vec![serving]), Millis(0));
+    start_all(&mut sched, 1, Millis(0));
+
+    set_capacity(&mut sched, 1, 6000, Millis(10));
+    let best_effort = StepSpec {
+        best_effort: true,
+        image: "f".to_string(),
+        ..step(1, 500, 1000)
+    };
+    submit(
+        &mut sched,
+        "f",
+        job("patient", vec![best_effort]),
+        Millis(10),
+    );
+    let started = starts(&plan_and_commit(&mut sched, 2, Millis(20)));
+
+    assert!(started.is_empty(), "{started:?}");
+}
+
 /// Guards against a successor that fills a worker to its former capacity, or that does not count
 /// the runs that the former leader has recorded.
 #[test]
