Count only what preemption frees on a shrunk worker

Cause: the resources that ending runs free were added to the free ones, which are zero and not negative on a worker above its capacity. An urgent task claimed resources there that never came free and waited instead of preempting a run elsewhere, or runs were stopped in vain.

Change: ending runs are subtracted from the reservations before these are compared with the capacity.

--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -31,18 +31,17 @@
                 continue;
             }
             let claimed = round.claims.get(&worker.id).copied().unwrap_or_default();
-            let free_after_stops = worker.free_after_stops();
-            if reservation.fits(&free_after_stops.saturating_sub(&claimed)) {
-                let claimed = claimed.checked_add(&reservation).unwrap_or(claimed);
-                round.claims.insert(worker.id.clone(), claimed);
+            let stopping = worker.stopping_resources();
+            let claim = claimed.checked_add(&reservation).unwrap_or(claimed);
+            if worker.has_room_for(&claim, &stopping) {
+                round.claims.insert(worker.id.clone(), claim);
                 return true;
             }
             // Claimed resources count as taken, and a worker is preempted for one task at a time.
             if claimed != Resources::default() {
                 continue;
             }
-            let Some((cost, victims)) =
-                victims(worker, &reservation, free_after_stops, priority, now)
+            let Some((cost, victims)) = victims(worker, &reservation, stopping, priority, now)
             else {
                 continue;
             };
@@ -64,36 +63,37 @@
 }
 
 impl Worker {
-    /// Returns the resources that are free once all stopping runs have ended.
-    fn free_after_stops(&self) -> Resources {
+    /// Returns the resources that all stopping runs reserve.
+    fn stopping_resources(&self) -> Resources {
         let stopping = self
             .runs
             .values()
             .filter(|run| run.state == RunState::Stopping);
-        stopping.fold(self.free(), |sum, run| {
+        stopping.fold(Resources::default(), |sum, run| {
             sum.checked_add(&run.reservation).unwrap_or(sum)
         })
     }
 }
 
-/// Selects the runs of a worker whose end frees enough resources and wastes the least work.
+/// Selects the runs of a worker whose end frees enough resources and wastes the least work;
+/// `released` are the resources of runs that are ending already.
 fn victims(
     worker: &Worker,
     reservation: &Resources,
-    mut free: Resources,
+    mut released: Resources,
     priority: u32,
     now: Millis,
 ) -> Option<(u64, Vec<TaskKey>)> {
     let is_preemptible =
         |run: &Run| run.state == RunState::Running && !run.long_running && run.priority > priority;
-    let max_free = worker
+    let max_released = worker
         .runs
         .values()
         .filter(|run| is_preemptible(run))
-        .fold(free, |sum, run| {
+        .fold(released, |sum, run| {
             sum.checked_add(&run.reservation).unwrap_or(sum)
         });
-    if !reservation.fits(&max_free) {
+    if !worker.has_room_for(reservation, &max_released) {
         return None;
     }
     let mut runs: Vec<(u64, &TaskKey, Resources)> = worker
@@ -113,12 +113,14 @@
     let mut victims = Vec::new();
     let mut cost = 0;
     for (wasted, key, freed) in runs {
-        if reservation.fits(&free) {
+        if worker.has_room_for(reservation, &released) {
             break;
         }
-        free = free.checked_add(&freed).unwrap_or(free);
+        released = released.checked_add(&freed).unwrap_or(released);
         cost += wasted;
         victims.push(key.clone());
     }
-    reservation.fits(&free).then_some((cost, victims))
+    worker
+        .has_room_for(reservation, &released)
+        .then_some((cost, victims))
 }
--- a/tests/capacity_cases.rs
+++ b/tests/capacity_cases.rs
@@ -179,6 +179,54 @@
     assert!(started.is_empty(), "{started:?}");
 }
 
+/// Guards against runs that are stopped in vain: on a worker above its capacity the end of a run
+/// frees less than its reservation. One run there has worked less than the run elsewhere, two have
+/// worked more.
+#[test]
+fn preemption_counts_only_what_a_shrunk_worker_frees() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(2, 1, 4000, MEMORY), Millis(0));
+    submit(&mut sched, "b", simple_job("patient", 1, 4000), Millis(0));
+    start_all(&mut sched, 1, Millis(0));
+    register(&mut sched, entry(1, 1, 8000, MEMORY), Millis(1000));
+    submit(
+        &mut sched,
+        "a",
+        simple_job("patient", 2, 4000),
+        Millis(1000),
+    );
+    start_all(&mut sched, 2, Millis(1000));
+    set_capacity(&mut sched, 1, 4000, Millis(1010));
+
+    submit(&mut sched, "c", simple_job("urgent", 1, 4000), Millis(2500));
+    let stopped = stops(&plan_and_commit(&mut sched, 3, Millis(2500)));
+
+    let workers: Vec<_> = stopped.iter().map(|stop| stop.worker.clone()).collect();
+    assert_eq!(workers, [worker_id(2)]);
+}
+
+/// Guards against a claim of resources that a shrunk worker will not have: the task would wait for
+/// them instead of preempting a run elsewhere.
+#[test]
+fn a_stopping_run_of_a_shrunk_worker_frees_no_more_than_the_capacity() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, MEMORY), Millis(0));
+    submit(&mut sched, "a", simple_job("urgent", 1, 4000), Millis(0));
+    submit(&mut sched, "b", simple_job("urgent", 1, 4000), Millis(0));
+    start_all(&mut sched, 1, Millis(0));
+    set_capacity(&mut sched, 1, 4000, Millis(10));
+    sched.cancel(&id("b"), Millis(10), Timestamp(10));
+    register(&mut sched, entry(2, 1, 4000, MEMORY), Millis(10));
+    submit(&mut sched, "c", simple_job("patient", 1, 4000), Millis(10));
+    start_all(&mut sched, 2, Millis(10));
+
+    submit(&mut sched, "d", simple_job("urgent", 1, 4000), Millis(20));
+    let stopped = stops(&plan_and_commit(&mut sched, 3, Millis(20)));
+
+    let workers: Vec<_> = stopped.iter().map(|stop| stop.worker.clone()).collect();
+    assert_eq!(workers, [worker_id(2)]);
+}
+
 /// Guards against a successor that fills a worker to its former capacity, or that does not count
 /// the runs that the former leader has recorded.
 #[test]
