Compute shares of the processors from the largest capacity shown

Cause: the share of the processors that a best-effort run uses was computed from the present capacity. After a shrink the shares grew (without limit at capacity zero), so the model of interference learnt coefficients that are far too small, and paces were not set while the tails of serving tasks rose.

Change: shares refer to the largest CPU capacity that the worker's incarnation has shown, and at least to the CPU reserved there: the machine keeps its processors while it offers fewer of them.

Measured: a_shrunk_capacity_does_not_distort_the_model_of_interference failed before (no pace was set and none of five tasks placed after the worker grew) and passes now. Whether the platform's workers disturb by share of the machine or of the offered capacity is not known.

--- a/src/scheduler/colocation.rs
+++ b/src/scheduler/colocation.rs
@@ -69,14 +69,13 @@
 impl Worker {
     /// Returns the CPU that best-effort tasks can expect to get, in millicores.
     pub(super) fn idle_cpu(&self) -> u64 {
-        let capacity = self.entry.as_ref().map_or(0, |entry| entry.capacity.cpu.0);
-        capacity.saturating_sub(self.expected_cpu)
+        self.capacity().cpu.0.saturating_sub(self.expected_cpu)
     }
 
-    fn cpu_capacity(&self) -> f64 {
-        self.entry
-            .as_ref()
-            .map_or(1.0, |entry| entry.capacity.cpu.0.max(1) as f64)
+    /// Returns the processors that the runs share, in millicores. A worker that offers less than
+    /// before has as many processors as before.
+    fn processors(&self) -> f64 {
+        self.largest_cpu.0.max(self.reserved.cpu.0).max(1) as f64
     }
 }
 
@@ -87,12 +86,12 @@
         let Some(worker) = self.workers.get(id) else {
             return CpuShares::new();
         };
-        let capacity = worker.cpu_capacity();
+        let processors = worker.processors();
         let mut uses = CpuShares::new();
         for run in worker.runs.values().filter(|run| run.best_effort) {
             let used = if full { run.cpu.0 } else { run.gauge };
             let index = self.interference.best_effort_index(&run.image);
-            let share = used as f64 / capacity;
+            let share = used as f64 / processors;
             match uses.iter_mut().find(|(at, _)| *at == index) {
                 Some((_, sum)) => *sum += share,
                 None => uses.push((index, share)),
@@ -140,7 +139,7 @@
     /// slack that the task costs a serving task. The margin is negative if a target would be
     /// missed.
     pub(super) fn headroom(worker: &Worker, step: &StepSpec, impact: &ImageImpact) -> (f64, f64) {
-        let share = step.need.cpu.0 as f64 / worker.cpu_capacity();
+        let share = step.need.cpu.0 as f64 / worker.processors();
         let margins = worker.margins.iter().flatten();
         margins.fold((f64::INFINITY, 0.0), |(least, most), (index, margin)| {
             let loss = impact.of(*index) * share;
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -127,6 +127,8 @@
     /// The worker has answered under this leader's fencing token.
     pub(super) fenced: bool,
     pub(super) reserved: Resources,
+    /// Largest CPU capacity that this incarnation has shown: the processors that its runs share.
+    pub(super) largest_cpu: Millicores,
     /// CPU that best-effort runs request.
     pub(super) best_effort_cpu: Millicores,
     pub(super) serving_runs: u32,
--- a/src/scheduler/worker_entries.rs
+++ b/src/scheduler/worker_entries.rs
@@ -27,6 +27,9 @@
         if is_newer {
             self.begin_incarnation(&id, entry.incarnation, now);
         }
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.largest_cpu = worker.largest_cpu.max(entry.capacity.cpu);
+        }
         if draining {
             self.stop_long_running_runs(&id, now);
         }
@@ -69,6 +72,7 @@
         worker.acknowledged = 0;
         worker.unacknowledged.clear();
         worker.missed_polls = 0;
+        worker.largest_cpu = Millicores::default();
         let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
         let mut freed = Vec::new();
         let mut stops = Vec::new();
--- a/tests/capacity_cases.rs
+++ b/tests/capacity_cases.rs
@@ -2,9 +2,11 @@
 
 mod scheduler_support;
 
+use std::collections::BTreeMap;
+
 use sapphirecroft::prelude::*;
 use sapphirecroft::scheduler::{
-    JobSpec, RunCompletion, RunOutcome, RunStatus, Scheduler, StartCommand, StartResponse,
+    Command, JobSpec, RunCompletion, RunOutcome, RunStatus, Scheduler, StartCommand, StartResponse,
     StepSpec, WorkerReport,
 };
 use scheduler_support::*;
@@ -336,6 +338,60 @@
     assert_eq!(grown.len(), 2);
 }
 
+/// Starts a serving and a best-effort task on a worker that shrinks to `cpu` afterwards, and trains
+/// the model of interference with readings of both; returns the commands since then and the starts
+/// of as many best-effort tasks once the worker has grown again.
+fn train_on_shrunk_worker(cpu: u64) -> (Vec<Command>, usize) {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 64_000, MEMORY), Millis(0));
+    let serving = StepSpec {
+        long_running: true,
+        image: "s".to_string(),
+        tail_target: Some(Millis(50)),
+        ..step(1, 10_000, 1000)
+    };
+    let best_effort = |tasks| StepSpec {
+        best_effort: true,
+        checkpoints: true,
+        image: "f".to_string(),
+        ..step(tasks, 8000, 1000)
+    };
+    let filling = job("patient", vec![best_effort(1)]);
+    submit(&mut sched, "s", job("urgent", vec![serving]), Millis(0));
+    submit(&mut sched, "f", filling, Millis(0));
+    let started: BTreeMap<JobId, StartCommand> = start_all(&mut sched, 1, Millis(0))
+        .into_iter()
+        .map(|start| (start.task.job.clone(), start))
+        .collect();
+    let (serving, filling) = (&started[&id("s")], &started[&id("f")]);
+    set_capacity(&mut sched, 1, cpu, Millis(100));
+    let mut commands = Vec::new();
+    for at in 1..20u32 {
+        let now = Millis(u64::from(at) * 500);
+        let (tail, used) = if at % 2 == 0 { (24, 8000) } else { (12, 0) };
+        let report = report_running(&[(serving, 100, tail), (filling, at, used)]);
+        deliver_report(&mut sched, &worker_id(1), 1, now, report);
+        commands.extend(plan_and_commit(&mut sched, 2, now));
+    }
+
+    set_capacity(&mut sched, 1, 64_000, Millis(10_000));
+    let more = job("patient", vec![best_effort(5)]);
+    submit(&mut sched, "g", more, Millis(10_000));
+    let grown = starts(&plan_and_commit(&mut sched, 3, Millis(10_000)));
+    (commands, grown.len())
+}
+
+/// Guards against a distorted model of interference, and against paces that follow from it, because
+/// shares of the processors are computed from a shrunk capacity.
+#[test]
+fn a_shrunk_capacity_does_not_distort_the_model_of_interference() {
+    let whole = train_on_shrunk_worker(64_000);
+
+    let shrunk = train_on_shrunk_worker(0);
+
+    assert_eq!(whole, shrunk);
+}
+
 /// Guards against a worker of capacity zero that keeps tasks from other workers.
 #[test]
 fn an_empty_worker_of_capacity_zero_does_not_keep_others_from_work() {
