Let the workers of the soak shrink and grow

Missing: nothing played a `capacity` that changes while a worker runs.

Change: the stand-in of a worker changes its capacity on request, and writes its entry every second (unless the store is down), so the entry shows the change up to one heartbeat later. An oracle fails if a start brings a worker over every capacity that counts: the present one, and those that were replaced within 4 s and one heartbeat, whatever the state of the store.

--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -3,8 +3,9 @@
 mod platform_support;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use platform_support::{Site, call, config, eventually, one_step_job};
+use platform_support::{CAPACITY, Site, call, config, eventually, one_step_job};
 use serde_json::json;
 
 /// Fails unless the job has this many tasks and each was started exactly once.
@@ -50,12 +51,12 @@
     let first = site
         .submit(0, "00000000000000b1", &one_step_job(20, 400))
         .await;
-    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
     site.store.remove("sapphirecroft/leader");
     let second = site
         .submit(1, "00000000000000b2", &one_step_job(20, 400))
         .await;
-    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
     site.daemons[0].kill();
     for id in ["00000000000000b1", "00000000000000b2"] {
         site.wait_for_state(1, id, "completed").await;
@@ -140,6 +141,37 @@
     assert_eq!(elsewhere.sum::<usize>(), 0);
 }
 
+/// Guards against starts beyond the capacity of workers that have shrunk, across a change of the
+/// leader and an outage of the store, and against room that stays unused once they have grown.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shrunk_workers_are_not_overfilled() {
+    let site = Site::start("shrink", 2, 2).await;
+    let submitted = site
+        .submit(0, "00000000000000a7", &one_step_job(60, 400))
+        .await;
+
+    site.workers[0].set_capacity(1500, CAPACITY.1);
+    site.workers[1].set_capacity(0, 0);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    site.store.remove("sapphirecroft/leader");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    site.store.set_down(true);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    site.store.set_down(false);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let shrunk_starts = site.workers[1].starts().len();
+    for worker in &site.workers {
+        worker.set_capacity(CAPACITY.0, CAPACITY.1);
+    }
+    site.wait_for_state(1, "00000000000000a7", "completed")
+        .await;
+
+    assert_eq!(submitted, 200);
+    assert_eq!(site.observed.lock().violations, [String::new(); 0]);
+    assert!(site.workers[1].starts().len() > shrunk_starts);
+    assert_started_once(&site, "00000000000000a7", 60);
+}
+
 /// Guards against daemons that still route by an older version of the configuration.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_new_configuration_is_in_force_within_two_seconds() {
@@ -148,7 +180,7 @@
     cfg["routes"][0]["prefix"] = json!("/other/");
 
     site.store.put("op/config", &cfg);
-    tokio::time::sleep(std::time::Duration::from_secs(2)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
     let mut seen = Vec::new();
     for daemon in &site.daemons {
         seen.push(call(daemon.frontend, "GET", "/queue/", "").await.0);
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -2,6 +2,7 @@
 //! service.
 #![allow(dead_code)]
 
+mod capacity;
 mod client;
 mod proxy;
 mod store;
@@ -25,7 +26,9 @@
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
 
+pub use capacity::{CAPACITY, HEARTBEAT_INTERVAL};
 pub use client::Client;
 pub use proxy::FaultProxy;
 pub use store::StoreStandin;
@@ -83,6 +86,7 @@
     /// Proxies in front of the workers.
     pub worker_links: Vec<FaultProxy>,
     dir: PathBuf,
+    dropped: CancellationToken,
     keep_logs: bool,
 }
 
@@ -142,6 +146,7 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
+        self.dropped.cancel();
         for daemon in &mut self.daemons {
             // Fails for a daemon that has already exited.
             let _ = daemon.child.kill();
@@ -187,6 +192,7 @@
             observed: Arc::default(),
             worker_links: Vec::new(),
             dir,
+            dropped: CancellationToken::new(),
             keep_logs: false,
         };
         for at in 0..workers {
@@ -194,6 +200,7 @@
             site.worker_links.push(FaultProxy::start(worker.addr).await);
             site.workers.push(worker);
             site.register(at);
+            site.start_heartbeats(at);
         }
         for _ in 0..daemons {
             site.add_daemon().await;
@@ -223,6 +230,19 @@
         self.store.put(&format!("servers/{}", worker.id), &entry);
     }
 
+    /// Lets a worker write its entry periodically until the site is dropped.
+    fn start_heartbeats(&self, at: usize) {
+        let (worker, address) = (self.workers[at].clone(), self.worker_links[at].addr);
+        let (store, dropped) = (self.store.clone(), self.dropped.clone());
+        tokio::spawn(async move {
+            let key = format!("servers/{}", worker.id);
+            while !dropped.is_cancelled() {
+                tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+                store.put_if_up(&key, &worker.entry(address));
+            }
+        });
+    }
+
     /// Starts an advice service that allows only the first worker.
     async fn start_advice_service() -> SocketAddr {
         serve(|_, _, _| async {
--- a/tests/platform_support/store.rs
+++ b/tests/platform_support/store.rs
@@ -60,6 +60,13 @@
         self.state.lock().put(key, value, 0);
     }
 
+    /// Writes an item in place of a worker, unless the store is down.
+    pub fn put_if_up(&self, key: &str, value: &Value) {
+        if !self.state.lock().down {
+            self.put(key, value);
+        }
+    }
+
     /// Starts or ends an outage, in which no call is answered.
     pub fn set_down(&self, down: bool) {
         self.state.lock().down = down;
--- a/tests/platform_support/workers.rs
+++ b/tests/platform_support/workers.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 
+use super::capacity::CapacityHistory;
 use super::{JsonResponse, serve};
 
 /// Interval at which a waiting poll checks for ended runs.
@@ -17,9 +18,6 @@
 /// Duration of a run whose spec sets none.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(400);
 
-/// CPU and memory of each worker, in millicores and MiB.
-pub const CAPACITY: (u64, u64) = (4000, 16_000);
-
 /// Delay in milliseconds with which a worker detects the expiry of its lease, because its clock may
 /// be late: 2% of the longest lease.
 const EXPIRY_DELAY_MS: u64 = 120;
@@ -60,6 +58,9 @@
     number: u64,
     starts: Vec<(String, u64)>,
     drop_start_responses: usize,
+    capacity: CapacityHistory,
+    /// Number of entries written.
+    heartbeats: u64,
 }
 
 /// A worker whose runs complete after a short time.
@@ -86,6 +87,8 @@
             number: 0,
             starts: Vec::new(),
             drop_start_responses: 0,
+            capacity: CapacityHistory::new(),
+            heartbeats: 0,
         }));
         let own = state.clone();
         let addr = serve(move |path, _, body| {
@@ -119,13 +122,21 @@
         state.runs.keys().any(|task| task.starts_with(prefix))
     }
 
-    /// Returns the worker's entry in the store, with `address` as its address.
+    /// Changes the capacity; runs at work are not affected. The next heartbeat shows it.
+    pub fn set_capacity(&self, cpu: u64, memory: u64) {
+        self.state.lock().capacity.set(cpu, memory);
+    }
+
+    /// Returns the worker's next entry in the store, with `address` as its address.
     pub fn entry(&self, address: SocketAddr) -> Value {
-        let incarnation = self.state.lock().incarnation;
+        let mut state = self.state.lock();
+        state.heartbeats += 1;
+        let (cpu, memory) = state.capacity.present();
         json!({
             "service": "s", "address": address.to_string(), "zone": "z", "version": "v1",
-            "slots": 8, "state": "ready", "warmupLeftMs": 0, "labels": ["a", "r1"], "seq": 1,
-            "capacity": {"cpu": CAPACITY.0, "memMb": CAPACITY.1, "gpu": 0}, "born": incarnation,
+            "slots": 8, "state": "ready", "warmupLeftMs": 0, "labels": ["a", "r1"],
+            "seq": state.heartbeats, "capacity": {"cpu": cpu, "memMb": memory, "gpu": 0},
+            "born": state.incarnation,
         })
     }
 
@@ -241,9 +252,10 @@
             runs().map(|run| run.memory).sum::<u64>(),
         );
         let mut observed = self.observed.lock();
-        if cpu > CAPACITY.0 || memory > CAPACITY.1 {
+        if !self.capacity.allows(cpu, memory) {
+            let (id, present) = (&self.id, self.capacity.present());
             observed.violations.push(format!(
-                "a start of {task} takes {cpu} millicores and {memory} MiB"
+                "a start of {task} takes {cpu} millicores and {memory} MiB of {present:?} on {id}"
             ));
         }
         if observed.acknowledged.contains(task) {
--- a/tests/soak_support/faults.rs
+++ b/tests/soak_support/faults.rs
@@ -6,11 +6,17 @@
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 
-use crate::platform_support::Site;
+use crate::platform_support::{CAPACITY, Site};
+
+/// Distinguishes the randomness of the workers' faults from that of the others.
+const WORKER_SEED: u64 = 1 << 63;
 
 /// A random sequence of overlapping faults, derived from a seed.
 pub struct Faults {
     rng: ChaCha8Rng,
+    /// Randomness of the workers' faults; apart, so that they do not change the other faults of a
+    /// seed.
+    worker_rng: ChaCha8Rng,
     history: Vec<String>,
     suspended: Vec<usize>,
 }
@@ -19,6 +25,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
+            worker_rng: ChaCha8Rng::seed_from_u64(seed ^ WORKER_SEED),
             history: Vec::new(),
             suspended: Vec::new(),
         }
@@ -62,6 +69,7 @@
                 site.register(worker);
             }
         }
+        self.change_capacity(site);
         if self.rng.random_bool(0.15) {
             site.store.set_down(true);
         }
@@ -78,12 +86,30 @@
         }
     }
 
+    /// Lets a worker shrink or grow again in some rounds.
+    fn change_capacity(&mut self, site: &Site) {
+        let worker = self.worker_rng.random_range(0..site.workers.len());
+        let percent = self.worker_rng.random_range(0..100);
+        let kind = self.worker_rng.random_range(0..8);
+        let percent = match kind {
+            0 => percent,
+            1 => 0,
+            2 => 100,
+            _ => return,
+        };
+        self.history
+            .push(format!("worker {worker} has {percent}% of its capacity"));
+        let (cpu, memory) = CAPACITY;
+        site.workers[worker].set_capacity(cpu * percent / 100, memory * percent / 100);
+    }
+
     /// Ends all faults and restarts daemons that have exited.
     pub async fn heal(&mut self, site: &mut Site) {
         site.store.set_down(false);
         site.store.drop_write_responses(0);
         for worker in &site.workers {
             worker.drop_start_responses(0);
+            worker.set_capacity(CAPACITY.0, CAPACITY.1);
         }
         self.heal_links(site);
         // A daemon that has received SIGTERM may take its whole grace period to exit.
