Withhold starts while entries may date from before an outage

Cause: a worker that shrinks while the store is away can show it only once the store is back, at its next heartbeat. A leader that regained its lease before relied on entries from before the outage and filled the worker to its former capacity.

Change: once the watch of entries has not been answered for 2.5 s, no start is sent until it is answered, and then only to workers that have written their entry since. The first answer after the gap does not count: what it shows may have been written before it. Planned runs are put back; unanswered starts wait. A leader that takes over within 2.5 s after an outage of the store, as seen by its process, waits for new entries as well.

Price: after such an outage starts wait for up to one heartbeat more. Known workers that write no heartbeats get no starts after an outage until they do.

--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -118,11 +118,20 @@
     }
 }
 
-/// Passes a change of a worker entry to the scheduler.
-pub(super) fn apply_worker(shared: &Shared, sched: &mut Scheduler, change: &Change, now: Millis) {
+/// Passes a change of a worker entry to the scheduler. Returns the worker if the entry is valid.
+pub(super) fn apply_worker(
+    shared: &Shared,
+    sched: &mut Scheduler,
+    change: &Change,
+    now: Millis,
+) -> Option<WorkerId> {
     match change {
         Change::Put(item) => match shared.platform_format.worker(&item.key, &item.value) {
-            Ok(entry) => sched.set_entry(entry, now),
+            Ok(entry) => {
+                let id = entry.id.clone();
+                sched.set_entry(entry, now);
+                return Some(id);
+            }
             Err(err) => {
                 tracing::debug!(key = item.key, revision = item.revision, %err, "worker entry is invalid; it is ignored");
             }
@@ -136,6 +145,7 @@
             }
         }
     }
+    None
 }
 
 /// Reads all pages under a prefix. Also returns the revision of the first page; a watch from there
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -9,12 +9,15 @@
 use super::ports::{PlatformFormat, StateStore, WorkerCalls};
 use super::{Clock, EntrySettings};
 use crate::prelude::*;
-use crate::scheduler::QueueTable;
+use crate::scheduler::{MAX_ENTRIES_AGE, QueueTable};
 use crate::web::Caller;
 
 /// Time since the last response of the store after which it counts as unavailable to this process.
 const STORE_SILENCE_TIMEOUT: Millis = Millis(1500);
 
+/// Time after the end of an outage within which workers have written their entries again.
+const ENTRIES_RETURN_TIME: Millis = Millis(2500);
+
 /// Value of the leader key: the process that leads.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -48,6 +51,8 @@
     pub shutting_down: AtomicBool,
     /// Time of the last response of the store.
     store_answered_at: AtomicU64,
+    /// Time of the first response of the store after the last outage; 0 if there was none.
+    store_returned_at: AtomicU64,
     /// Whether the last call to the store failed.
     store_failing: AtomicBool,
 }
@@ -75,6 +80,7 @@
             leader: RwLock::new(None),
             shutting_down: AtomicBool::new(false),
             store_answered_at: AtomicU64::new(0),
+            store_returned_at: AtomicU64::new(0),
             store_failing: AtomicBool::new(false),
         }
     }
@@ -93,8 +99,11 @@
             .inc();
         match result {
             Ok(_) => {
-                self.store_answered_at
-                    .store(self.clock.now().0, Ordering::Relaxed);
+                let now = self.clock.now();
+                let before = Millis(self.store_answered_at.swap(now.0, Ordering::Relaxed));
+                if now.since(before) > MAX_ENTRIES_AGE {
+                    self.store_returned_at.store(now.0, Ordering::Relaxed);
+                }
                 if self.store_failing.swap(false, Ordering::Relaxed) {
                     tracing::info!(call, "store regained");
                 }
@@ -114,6 +123,13 @@
             || self.clock.now().since(answered_at) < STORE_SILENCE_TIMEOUT
     }
 
+    /// Returns whether the store has been unavailable to this process so lately that workers may
+    /// not have written their entries since.
+    pub fn has_store_just_returned(&self) -> bool {
+        let returned_at = Millis(self.store_returned_at.load(Ordering::Relaxed));
+        self.clock.now().since(returned_at) < ENTRIES_RETURN_TIME
+    }
+
     /// Returns whether the last call to the store failed.
     pub fn store_failed(&self) -> bool {
         self.store_failing.load(Ordering::Relaxed)
--- a/src/entry/watches.rs
+++ b/src/entry/watches.rs
@@ -1,5 +1,6 @@
 //! Watches of a leader on jobs and workers in the store.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::config_watch::{RETRY_PAUSE, WATCH_WAIT};
@@ -47,24 +48,36 @@
 pub(super) async fn watch_workers(leader: Arc<Leader>, mut after: u64) {
     let shared = &leader.shared;
     let prefix = shared.platform_format.workers_prefix().to_string();
+    leader.update(|sched, now| {
+        sched.on_entries_watched(&BTreeSet::new(), now);
+        if shared.has_store_just_returned() {
+            sched.distrust_entries();
+        }
+    });
     loop {
         let watch = shared.store.watch(&prefix, after, WATCH_WAIT).await;
         shared.record_store_call("watch", &watch);
         match watch {
             Ok(WatchResponse::Changes(changes, at)) => {
                 after = at;
+                leader.update(|sched, now| {
+                    let written = changes
+                        .iter()
+                        .filter_map(|change| apply_worker(shared, sched, change, now))
+                        .collect();
+                    sched.on_entries_watched(&written, now);
+                });
                 if changes.is_empty() {
                     continue;
                 }
-                leader.update(|sched, now| {
-                    for change in &changes {
-                        apply_worker(shared, sched, change, now);
-                    }
-                });
                 tokio::time::sleep(WORKERS_BATCH_PAUSE).await;
             }
             Ok(WatchResponse::Compacted) => match load_workers(&leader).await {
-                Some(at) => after = at,
+                Some(at) => {
+                    after = at;
+                    // A read does not tell when the entries were written.
+                    leader.update(|sched, now| sched.on_entries_watched(&BTreeSet::new(), now));
+                }
                 None => tokio::time::sleep(RETRY_PAUSE).await,
             },
             Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -148,7 +148,14 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        if !worker.runs.contains_key(key) {
+        let Some(run) = worker.runs.get(key) else {
+            return;
+        };
+        if self.entry_is_old(worker, now) {
+            // An unanswered start is repeated, or put back, once the entry is known.
+            if run.state != RunState::Sent {
+                self.put_back(id, key, "entry is old", now);
+            }
             return;
         }
         // The worker may have started to drain, or its capacity may have shrunk, since the run was
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -29,7 +29,7 @@
     /// Assigns ready tasks to workers and returns their number; the starts follow once the records
     /// are durable.
     pub fn plan(&mut self, now: Millis) -> usize {
-        if !self.replan || !self.may_start {
+        if !self.replan || !self.may_start || self.entries_are_old(now) {
             return 0;
         }
         self.replan = false;
--- a/src/scheduler/selection.rs
+++ b/src/scheduler/selection.rs
@@ -79,7 +79,10 @@
 impl PlacementRequest<'_> {
     /// Returns whether the task may run on a worker, apart from its free resources.
     pub fn allows(&self, worker: &Worker, now: Millis) -> bool {
-        if !worker.fenced || worker.missed_polls > 0 || worker.health.is_cooling_down(now) {
+        if !worker.fenced || worker.entry_is_old || worker.missed_polls > 0 {
+            return false;
+        }
+        if worker.health.is_cooling_down(now) {
             return false;
         }
         let eligible = worker.entry.as_ref().is_some_and(|entry| {
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -48,6 +48,8 @@
     pub(super) advice: HashMap<StepKey, Advice>,
     /// Something has changed since the last round of planning.
     pub(super) replan: bool,
+    /// Time of the last answered watch of entries; `None` before the first.
+    pub(super) entries_watched_at: Option<Millis>,
     /// The leader is authorised to send new starts.
     pub(super) may_start: bool,
 }
@@ -69,6 +71,7 @@
             interference: Interference::default(),
             advice: HashMap::new(),
             replan: true,
+            entries_watched_at: None,
             may_start: true,
         }
     }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -122,6 +122,8 @@
 pub struct Worker {
     pub(super) id: WorkerId,
     pub(super) entry: Option<WorkerEntry>,
+    /// The entry may date from before an outage of the store.
+    pub(super) entry_is_old: bool,
     pub(super) address: String,
     pub(super) incarnation: u64,
     /// The worker has answered under this leader's fencing token.
--- a/tests/capacity_cases.rs
+++ b/tests/capacity_cases.rs
@@ -2,12 +2,12 @@
 
 mod scheduler_support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sapphirecroft::prelude::*;
 use sapphirecroft::scheduler::{
-    Command, JobSpec, RunCompletion, RunOutcome, RunStatus, Scheduler, StartCommand, StartResponse,
-    StepSpec, WorkerReport,
+    Batch, Command, JobSpec, RunCompletion, RunOutcome, RunStatus, Scheduler, StartCommand,
+    StartResponse, StepSpec, WorkerReport,
 };
 use scheduler_support::*;
 
@@ -406,3 +406,88 @@
     assert_eq!(started.len(), 2);
     assert!(started.iter().all(|start| start.worker == worker_id(2)));
 }
+
+/// Returns a leader that watches entries, with a planned run that waits for its record.
+fn leader_with_planned_run() -> (Scheduler, Batch) {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, MEMORY), Millis(0));
+    sched.on_entries_watched(&BTreeSet::new(), Millis(0));
+    submit(&mut sched, "a", simple_job("urgent", 1, 2000), Millis(0));
+    sched.plan(Millis(0));
+    let batch = sched.next_batch().expect("a record waits");
+    (sched, batch)
+}
+
+/// Guards against a start that relies on an entry from before an outage of the store, in which the
+/// worker may have shrunk: neither the first answer afterwards nor a full read is recent enough.
+#[test]
+fn entries_from_before_an_outage_allow_no_start() {
+    let (mut sched, batch) = leader_with_planned_run();
+    let written = BTreeSet::from([worker_id(1)]);
+
+    sched.on_commit(&batch, 1, Millis(5000));
+    let mut early = plan_and_commit(&mut sched, 2, Millis(5000));
+    set_capacity(&mut sched, 1, 8000, Millis(5100));
+    sched.on_entries_watched(&written, Millis(5100));
+    early.extend(plan_and_commit(&mut sched, 3, Millis(5100)));
+    sched.set_entry(entry(1, 1, 4000, MEMORY), Millis(5600));
+    sched.on_entries_watched(&written, Millis(5600));
+    let needs_plan = sched.needs_plan();
+    let later = starts(&plan_and_commit(&mut sched, 4, Millis(5600)));
+
+    assert!(starts(&early).is_empty(), "{early:?}");
+    assert!(needs_plan);
+    assert_eq!(later.len(), 1, "the worker has written its entry again");
+}
+
+/// Guards against starts that are withheld although the store answers: workers that have written
+/// nothing for a while are used, as long as the watch is answered.
+#[test]
+fn an_answered_watch_keeps_entries_recent() {
+    let (mut sched, batch) = leader_with_planned_run();
+
+    for now in (1500..9000).step_by(1500).map(Millis) {
+        sched.on_entries_watched(&BTreeSet::new(), now);
+    }
+    sched.on_commit(&batch, 1, Millis(9000));
+    let started = starts(&sched.take_commands());
+
+    assert_eq!(started.len(), 1);
+}
+
+/// Guards against an unanswered start that is repeated, or stopped, while the entry of its worker
+/// is old.
+#[test]
+fn an_unanswered_start_waits_for_a_recent_entry() {
+    let (mut sched, batch) = leader_with_planned_run();
+    sched.on_commit(&batch, 1, Millis(10));
+    let start = starts(&sched.take_commands()).remove(0);
+    respond(&mut sched, &start, StartResponse::Unknown, Millis(500));
+    let written = BTreeSet::from([worker_id(1)]);
+
+    sched.tick(Millis(4000));
+    let during = sched.take_commands();
+    sched.on_entries_watched(&written, Millis(4100));
+    sched.on_entries_watched(&written, Millis(4500));
+    sched.tick(Millis(4500));
+    let after = starts(&sched.take_commands());
+
+    assert!(during.is_empty(), "{during:?}");
+    assert_eq!(after.len(), 1);
+}
+
+/// Guards against a leader that has taken over after an outage of the store and relies on the
+/// entries that it has read.
+#[test]
+fn a_leader_that_distrusts_entries_waits_for_new_ones() {
+    let (mut sched, batch) = leader_with_planned_run();
+
+    sched.distrust_entries();
+    sched.on_commit(&batch, 1, Millis(10));
+    let early = plan_and_commit(&mut sched, 2, Millis(10));
+    sched.on_entries_watched(&BTreeSet::from([worker_id(1)]), Millis(1000));
+    let later = starts(&plan_and_commit(&mut sched, 3, Millis(1000)));
+
+    assert!(starts(&early).is_empty());
+    assert_eq!(later.len(), 1);
+}
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -172,6 +172,28 @@
     assert_started_once(&site, "00000000000000a7", 60);
 }
 
+/// Guards against a store outage during which a worker shrinks: nobody learns of it until the store
+/// is back, and by then the smaller capacity counts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_worker_that_shrinks_during_a_store_outage_is_not_overfilled() {
+    let site = Site::start("shrink-outage", 2, 2).await;
+    let submitted = site
+        .submit(0, "00000000000000a8", &one_step_job(200, 400))
+        .await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    site.store.set_down(true);
+    for worker in &site.workers {
+        worker.set_capacity(1500, CAPACITY.1);
+    }
+    tokio::time::sleep(Duration::from_secs(7)).await;
+    site.store.set_down(false);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+
+    assert_eq!(submitted, 200);
+    assert_eq!(site.observed.lock().violations, [String::new(); 0]);
+}
+
 /// Guards against daemons that still route by an older version of the configuration.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_new_configuration_is_in_force_within_two_seconds() {
