--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -167,7 +167,7 @@
         .await;
 
     assert_eq!(submitted, 200);
-    assert_eq!(site.observed.lock().violations, [String::new(); 0]);
+    assert_eq!(site.observed.lock().violations, Vec::<String>::new());
     assert!(site.workers[1].starts().len() > shrunk_starts);
     assert_started_once(&site, "00000000000000a7", 60);
 }
@@ -191,7 +191,7 @@
     tokio::time::sleep(Duration::from_secs(5)).await;
 
     assert_eq!(submitted, 200);
-    assert_eq!(site.observed.lock().violations, [String::new(); 0]);
+    assert_eq!(site.observed.lock().violations, Vec::<String>::new());
 }
 
 /// Guards against daemons that still route by an older version of the configuration.
