Let tasks of the soak crash their workers

Missing: nothing played a task that crashes every worker that starts it.

Change: a task whose spec says `deadly` crashes its stand-in worker 150 ms after the start. All runs there are gone without a trace, no call is answered, and the worker is back 3 s later under the same id with a new incarnation. The soak submits up to two such jobs a run and checks that they have failed by the end.

--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use platform_support::{CAPACITY, Site, call, config, eventually, one_step_job};
+use platform_support::{CAPACITY, Site, call, config, deadly_job, eventually, one_step_job};
 use serde_json::json;
 
 /// Fails unless the job has this many tasks and each was started exactly once.
@@ -194,6 +194,24 @@
     assert_eq!(site.observed.lock().violations, Vec::<String>::new());
 }
 
+/// Guards against a task that crashes one worker after the other, and against other tasks that are
+/// given up because they ran on the same workers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_task_that_crashes_its_workers_is_given_up() {
+    let site = Site::start("deadly", 3, 2).await;
+
+    let deadly = site.submit(0, "00000000000000a9", &deadly_job()).await;
+    let other = site
+        .submit(1, "00000000000000aa", &one_step_job(30, 400))
+        .await;
+    site.wait_for_state(0, "00000000000000aa", "completed")
+        .await;
+    site.wait_for_state(1, "00000000000000a9", "failed").await;
+
+    assert_eq!((deadly, other), (200, 200));
+    assert_eq!(site.observed.lock().violations, Vec::<String>::new());
+}
+
 /// Guards against daemons that still route by an older version of the configuration.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_new_configuration_is_in_force_within_two_seconds() {
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -4,6 +4,7 @@
 
 mod capacity;
 mod client;
+mod crashes;
 mod proxy;
 mod store;
 mod workers;
@@ -32,7 +33,7 @@
 pub use client::Client;
 pub use proxy::FaultProxy;
 pub use store::StoreStandin;
-pub use workers::{Observations, WorkerStandin};
+pub use workers::{DEADLY, Observations, WorkerStandin};
 
 /// Response of a stand-in; `None` leaves the caller without a response.
 pub type JsonResponse = Option<(StatusCode, Value)>;
@@ -238,7 +239,9 @@
             let key = format!("servers/{}", worker.id);
             while !dropped.is_cancelled() {
                 tokio::time::sleep(HEARTBEAT_INTERVAL).await;
-                store.put_if_up(&key, &worker.entry(address));
+                if worker.is_up() {
+                    store.put_if_up(&key, &worker.entry(address));
+                }
             }
         });
     }
@@ -360,6 +363,13 @@
     })
 }
 
+/// Returns a job of one task that crashes every worker that starts it.
+pub fn deadly_job() -> Value {
+    json!({"spec": DEADLY, "steps": [
+        {"count": 1, "cpu": 1000, "memMb": 1000, "estimateMs": 400},
+    ]})
+}
+
 /// Returns a job of one step.
 pub fn one_step_job(tasks: u64, estimate: u64) -> Value {
     json!({"spec": "x", "steps": [
--- a/tests/platform_support/workers.rs
+++ b/tests/platform_support/workers.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 
 use super::capacity::CapacityHistory;
+use super::crashes::CrashLog;
 use super::{JsonResponse, serve};
 
 /// Interval at which a waiting poll checks for ended runs.
@@ -22,8 +23,18 @@
 /// be late: 2% of the longest lease.
 const EXPIRY_DELAY_MS: u64 = 120;
 
+/// Spec of a task that crashes every worker that starts it.
+pub const DEADLY: &str = "deadly";
+
+/// Time from the start of a deadly task to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(150);
+
+/// Time from a crash to the worker's next incarnation.
+const CRASH_TIME: Duration = Duration::from_secs(3);
+
 struct Run {
     number: u64,
+    deadly: bool,
     started_at: Instant,
     work: Duration,
     cpu: u64,
@@ -39,6 +50,7 @@
     pub done: BTreeSet<String>,
     /// Violated guarantees.
     pub violations: Vec<String>,
+    crashes: CrashLog,
     workers: Vec<WorkerStandin>,
 }
 
@@ -61,6 +73,8 @@
     capacity: CapacityHistory,
     /// Number of entries written.
     heartbeats: u64,
+    /// The worker has crashed and is not back.
+    crashed: bool,
 }
 
 /// A worker whose runs complete after a short time.
@@ -89,6 +103,7 @@
             drop_start_responses: 0,
             capacity: CapacityHistory::new(),
             heartbeats: 0,
+            crashed: false,
         }));
         let own = state.clone();
         let addr = serve(move |path, _, body| {
@@ -103,16 +118,12 @@
 
     /// Ends all runs and starts a new incarnation under the same id.
     pub fn restart(&self) {
-        let mut state = self.state.lock();
-        state.advance();
-        state.incarnation += 1;
-        state.started_at = Instant::now();
-        state.fence = 0;
-        state.lease = 0;
-        state.number = 0;
-        state.runs.clear();
-        state.last_runs.clear();
-        state.ended.clear();
+        self.state.lock().restart();
+    }
+
+    /// Returns whether the worker has not crashed.
+    pub fn is_up(&self) -> bool {
+        !self.state.lock().crashed
     }
 
     /// Returns whether a task whose name has this prefix runs now.
@@ -162,6 +173,34 @@
             .push(json!([self.number, task, run, outcome, ""]));
     }
 
+    fn restart(&mut self) {
+        self.advance();
+        self.crashed = false;
+        self.incarnation += 1;
+        self.started_at = Instant::now();
+        self.fence = 0;
+        self.lease = 0;
+        self.number = 0;
+        self.runs.clear();
+        self.last_runs.clear();
+        self.ended.clear();
+    }
+
+    /// Ends all runs without a trace; the worker answers no call until it restarts.
+    fn crash(&mut self) {
+        self.crashed = true;
+        let mut observed = self.observed.lock();
+        for (task, _) in self.runs.iter().filter(|(_, run)| run.deadly) {
+            observed.crashes.record_crash(task);
+        }
+        self.runs.clear();
+    }
+
+    /// Returns whether this run of a deadly task is at work.
+    fn runs_deadly(&self, task: &str) -> bool {
+        self.runs.get(task).is_some_and(|run| run.deadly)
+    }
+
     fn advance(&mut self) {
         let lease_expired = self.lease + EXPIRY_DELAY_MS <= self.clock();
         let finished: Vec<(String, u64, bool)> = self
@@ -229,6 +268,7 @@
         let started_at = Instant::now();
         let new_run = Run {
             number: run,
+            deadly: spec.contains(DEADLY),
             started_at,
             work,
             cpu,
@@ -258,6 +298,9 @@
                 "a start of {task} takes {cpu} millicores and {memory} MiB of {present:?} on {id}"
             ));
         }
+        if let Some(violation) = observed.crashes.record_start(task) {
+            observed.violations.push(violation);
+        }
         if observed.acknowledged.contains(task) {
             observed
                 .violations
@@ -301,10 +344,31 @@
     }
 }
 
-async fn handle(state: &Mutex<State>, path: &str, body: &Value) -> JsonResponse {
+/// Crashes the worker shortly after the start of a deadly task, and restarts it later.
+async fn crash_and_restart(shared: Arc<Mutex<State>>, task: String) {
+    let incarnation = shared.lock().incarnation;
+    tokio::time::sleep(CRASH_DELAY).await;
+    {
+        let mut state = shared.lock();
+        if state.incarnation != incarnation || !state.runs_deadly(&task) {
+            return;
+        }
+        state.crash();
+    }
+    tokio::time::sleep(CRASH_TIME).await;
+    let mut state = shared.lock();
+    if state.incarnation == incarnation {
+        state.restart();
+    }
+}
+
+async fn handle(shared: &Arc<Mutex<State>>, path: &str, body: &Value) -> JsonResponse {
     let fence = body["fence"].as_u64().unwrap_or(0);
     let until = {
-        let mut state = state.lock();
+        let mut state = shared.lock();
+        if state.crashed {
+            return None;
+        }
         state.advance();
         if fence < state.fence {
             let refused = json!({"clockMs": state.clock(), "reason": "fence"});
@@ -313,10 +377,16 @@
         state.fence = fence;
         match path {
             "/run-start" => {
+                let started = state.starts.len();
                 let response = state.start(body);
+                let has_started = state.starts.len() > started;
+                let task = body["task"].as_str().unwrap_or_default();
+                if has_started && state.runs_deadly(task) {
+                    tokio::spawn(crash_and_restart(shared.clone(), task.to_string()));
+                }
                 let observed = state.observed.clone();
                 drop(state);
-                check_runs_once(&observed, body["task"].as_str().unwrap_or_default());
+                check_runs_once(&observed, task);
                 return response;
             }
             "/run-stop" => {
@@ -351,8 +421,11 @@
     };
     loop {
         {
-            let mut state = state.lock();
+            let mut state = shared.lock();
             state.advance();
+            if state.crashed {
+                return None;
+            }
             if !state.ended.is_empty() || Instant::now() >= until {
                 return Some((StatusCode::OK, state.lists()));
             }
--- a/tests/soak_support/faults.rs
+++ b/tests/soak_support/faults.rs
@@ -6,17 +6,24 @@
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 
-use crate::platform_support::{CAPACITY, Site};
+use crate::platform_support::{CAPACITY, Site, call, deadly_job};
 
 /// Distinguishes the randomness of the workers' faults from that of the others.
 const WORKER_SEED: u64 = 1 << 63;
 
+/// Maximum number of jobs that crash workers in one run, for the run has few workers.
+const MAX_DEADLY_JOBS: usize = 2;
+
+/// Number in the id of the first of these jobs; no other job has it.
+const FIRST_DEADLY_ID: u64 = 0xdead_0000;
+
 /// A random sequence of overlapping faults, derived from a seed.
 pub struct Faults {
     rng: ChaCha8Rng,
     /// Randomness of the workers' faults; apart, so that they do not change the other faults of a
     /// seed.
     worker_rng: ChaCha8Rng,
+    deadly_jobs: Vec<String>,
     history: Vec<String>,
     suspended: Vec<usize>,
 }
@@ -26,6 +33,7 @@
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             worker_rng: ChaCha8Rng::seed_from_u64(seed ^ WORKER_SEED),
+            deadly_jobs: Vec::new(),
             history: Vec::new(),
             suspended: Vec::new(),
         }
@@ -69,7 +77,7 @@
                 site.register(worker);
             }
         }
-        self.change_capacity(site);
+        self.inject_worker_fault(site);
         if self.rng.random_bool(0.15) {
             site.store.set_down(true);
         }
@@ -86,8 +94,8 @@
         }
     }
 
-    /// Lets a worker shrink or grow again in some rounds.
-    fn change_capacity(&mut self, site: &Site) {
+    /// In some rounds, lets a worker shrink or grow again, or submits a job that crashes workers.
+    fn inject_worker_fault(&mut self, site: &Site) {
         let worker = self.worker_rng.random_range(0..site.workers.len());
         let percent = self.worker_rng.random_range(0..100);
         let kind = self.worker_rng.random_range(0..8);
@@ -95,6 +103,10 @@
             0 => percent,
             1 => 0,
             2 => 100,
+            3 if self.deadly_jobs.len() < MAX_DEADLY_JOBS => {
+                self.submit_deadly_job(site);
+                return;
+            }
             _ => return,
         };
         self.history
@@ -103,6 +115,26 @@
         site.workers[worker].set_capacity(cpu * percent / 100, memory * percent / 100);
     }
 
+    fn submit_deadly_job(&mut self, site: &Site) {
+        let id = format!("{:016x}", FIRST_DEADLY_ID + self.deadly_jobs.len() as u64);
+        let daemon = self.worker_rng.random_range(0..site.daemons.len());
+        self.history
+            .push(format!("job {id} of a deadly task at daemon {daemon}"));
+        let frontend = site.daemons[daemon].frontend;
+        let path = format!("/queue/{id}");
+        self.deadly_jobs.push(id);
+        // A suspended daemon must not delay the next fault. Whether the job is accepted is not
+        // known; what its tasks do is checked where they start.
+        tokio::spawn(async move {
+            call(frontend, "POST", &path, &deadly_job().to_string()).await;
+        });
+    }
+
+    /// Returns the ids of the submitted jobs that crash workers.
+    pub fn deadly_jobs(&self) -> &[String] {
+        &self.deadly_jobs
+    }
+
     /// Ends all faults and restarts daemons that have exited.
     pub async fn heal(&mut self, site: &mut Site) {
         site.store.set_down(false);
--- a/tests/soak_support/mod.rs
+++ b/tests/soak_support/mod.rs
@@ -71,6 +71,7 @@
         site.starts().len()
     );
     violations.extend(check_outcomes(&site, &jobs).await);
+    violations.extend(check_deadly_jobs(&site, faults.deadly_jobs()).await);
     violations.extend(site.observed.lock().violations.clone());
     if !violations.is_empty() {
         faults.print();
@@ -79,6 +80,27 @@
     violations
 }
 
+/// Checks that jobs whose task crashes workers have failed by the end, unless nobody knows them.
+/// The workers' observations limit the starts.
+async fn check_deadly_jobs(site: &Site, jobs: &[String]) -> Vec<String> {
+    let until = Instant::now() + SETTLE;
+    let mut violations = Vec::new();
+    for id in jobs {
+        loop {
+            let state = site.state(0, id).await;
+            if state == "failed" || state == "410" {
+                break;
+            }
+            if Instant::now() >= until {
+                violations.push(format!("deadly job {id} is {state} at the end"));
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+    violations
+}
+
 /// Waits until all accepted jobs have completed, then compares the outcomes that callers know with
 /// the runs that workers observed.
 async fn check_outcomes(site: &Site, jobs: &[SubmittedJob]) -> Vec<String> {
