Let the workers of the random model shrink and grow

Change: in some rounds of a history a worker changes its capacity; its entry shows it in the same round, and the oracle compares every start with it. A start that the worker executes late may exceed it. The faults have their own source of randomness, so that the rest of a history stays as it was.

--- a/tests/scheduler_support/sim.rs
+++ b/tests/scheduler_support/sim.rs
@@ -23,6 +23,9 @@
 const WORKER_CPU: u64 = 8000;
 const WORKER_MEMORY: u64 = 16_000;
 
+/// Distinguishes the randomness of capacities, so that it does not change the rest of a history.
+const CAPACITY_SEED: u64 = 1 << 63;
+
 struct SimWorker {
     id: WorkerId,
     incarnation: u64,
@@ -35,6 +38,7 @@
     dead_until: u64,
     partitioned_until: u64,
     faulty_until: u64,
+    capacity: Resources,
 }
 
 struct Term {
@@ -53,6 +57,7 @@
 
 pub struct Sim {
     rng: ChaCha8Rng,
+    capacity_rng: ChaCha8Rng,
     now: u64,
     workers: Vec<SimWorker>,
     specs: BTreeMap<JobId, JobSpec>,
@@ -72,6 +77,7 @@
         let workers = (0..WORKERS).map(|at| SimWorker::new(at, 1)).collect();
         let mut sim = Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
+            capacity_rng: ChaCha8Rng::seed_from_u64(seed ^ CAPACITY_SEED),
             now: 1000,
             workers,
             specs: BTreeMap::new(),
@@ -99,6 +105,7 @@
         for worker in &mut self.workers {
             worker.partitioned_until = 0;
             worker.faulty_until = 0;
+            worker.capacity = Resources::new(WORKER_CPU, WORKER_MEMORY, 0);
         }
         if let Some(term) = self.terms.last_mut() {
             term.partitioned.clear();
@@ -122,6 +129,7 @@
 
     fn inject_fault(&mut self) {
         let now = self.now;
+        self.change_capacity();
         if self.rng.random_bool(0.10) {
             self.submit();
         }
@@ -157,6 +165,16 @@
         }
     }
 
+    /// Lets a worker shrink or grow again in some rounds; its entry shows it in the same round.
+    fn change_capacity(&mut self) {
+        let at = self.capacity_rng.random_range(0..WORKERS);
+        let quarters = self.capacity_rng.random_range(0..5);
+        if self.capacity_rng.random_bool(0.04) {
+            self.workers[at].capacity =
+                Resources::new(WORKER_CPU * quarters / 4, WORKER_MEMORY * quarters / 4, 0);
+        }
+    }
+
     fn submit(&mut self) {
         let mut steps = Vec::new();
         for at in 0..self.rng.random_range(1..4u32) {
@@ -244,7 +262,7 @@
                 worker.id == delayed.start.worker && worker.incarnation == delayed.incarnation
             };
             if self.workers.iter().any(alive) {
-                self.execute_start(&delayed.start);
+                self.execute_start(&delayed.start, true);
             }
         }
     }
@@ -287,6 +305,7 @@
             if worker.dead_until == 0 {
                 let mut own = entry(at, worker.incarnation, WORKER_CPU, WORKER_MEMORY);
                 own.id = worker.id.clone();
+                own.capacity = worker.capacity;
                 term.sched.set_entry(own, now);
             } else {
                 term.sched.remove_entry(&worker.id);
@@ -436,7 +455,7 @@
                     });
                     StartResponse::Unknown
                 } else {
-                    let response = self.execute_start(&start);
+                    let response = self.execute_start(&start, false);
                     if self.rng.random_bool(0.05) {
                         StartResponse::Unknown
                     } else {
@@ -476,8 +495,9 @@
         }
     }
 
-    /// Executes a start on its worker, with the checks of the oracle.
-    fn execute_start(&mut self, start: &StartCommand) -> StartResponse {
+    /// Executes a start on its worker, with the checks of the oracle. The worker may have shrunk
+    /// since it received a start that it executes late.
+    fn execute_start(&mut self, start: &StartCommand, late: bool) -> StartResponse {
         let now = self.now;
         let Some(at) = self
             .workers
@@ -527,11 +547,11 @@
             .runs
             .insert(key.clone(), (run, now + duration, outcome));
         self.starts += 1;
-        self.check_start(at, &key, &spec);
+        self.check_start(at, &key, &spec, late);
         StartResponse::Started
     }
 
-    fn check_start(&self, at: usize, key: &TaskKey, spec: &JobSpec) {
+    fn check_start(&self, at: usize, key: &TaskKey, spec: &JobSpec, late: bool) {
         let elsewhere = self
             .workers
             .iter()
@@ -548,8 +568,13 @@
             let reservation = self.specs[&task.job].steps[task.step as usize].reservation();
             used = used.checked_add(&reservation).expect("small numbers");
         }
+        let capacity = if late {
+            Resources::new(WORKER_CPU, WORKER_MEMORY, 0)
+        } else {
+            self.workers[at].capacity
+        };
         assert!(
-            used.fits(&Resources::new(WORKER_CPU, WORKER_MEMORY, 0)),
+            used.fits(&capacity),
             "{} ms: worker {at} is over its capacity: {used}",
             self.now
         );
@@ -597,6 +622,7 @@
             dead_until: 0,
             partitioned_until: 0,
             faulty_until: 0,
+            capacity: Resources::new(WORKER_CPU, WORKER_MEMORY, 0),
         }
     }
 
