Acknowledge no completions in a poll after a silence

Cause: a worker that crashes and is back under its id answers the next poll as another incarnation. That poll carried the number of the last completion of the former incarnation as acknowledged, so the new one dropped its own completions up to that number, unread. A task whose repeated start the new incarnation had executed to its end was started again (TWICE). `Expect-Instance` holds the id, which both share.

Change: while a call to the worker is unanswered, polls acknowledge nothing; the worker lists the rest of its completions again.

Measured: a_poll_after_a_silence_acknowledges_nothing failed before and passes now.

--- a/src/scheduler/poll.rs
+++ b/src/scheduler/poll.rs
@@ -56,10 +56,17 @@
             .filter(|_| renews)
             .map(|clock| clock + lease);
         worker.lease_end = worker.lease_end.max(deadline.unwrap_or_default());
+        // After a silence another incarnation may answer, whose completions have numbers of their
+        // own and must not be acknowledged unread.
+        let last_acknowledged = if worker.missed_polls > 0 {
+            0
+        } else {
+            worker.acknowledged
+        };
         PollPlan::Call {
             address: worker.address.clone(),
             fence,
-            last_acknowledged: worker.acknowledged,
+            last_acknowledged,
             deadline,
             wait: if worker.fenced && !waiting && worker.missed_polls == 0 {
                 if worker.serving_runs > 0 && worker.best_effort_cpu.0 > 0 {
