--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -152,17 +152,31 @@
 
     /// Sends the start of a run, or retries it.
     pub(super) fn send_start(&mut self, id: &WorkerId, key: &TaskKey, now: Millis) {
-        // The worker may have started to drain since the run was planned.
-        if self
-            .workers
-            .get(id)
-            .is_some_and(|worker| !worker.accepts_work())
-        {
-            self.stop(id, key, now);
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let Some(run) = worker.runs.get(key) else {
+            return;
+        };
+        if self.entry_is_old(worker, now) {
+            // An unanswered start is repeated, or put back, once the entry is known.
+            if run.state != RunState::Sent {
+                self.put_back(id, key, "entry is old", now);
+            }
+            return;
+        }
+        // The worker may have started to drain, or its capacity may have shrunk, since the run was
+        // planned or last sent.
+        if !worker.accepts_work() {
+            self.put_back(id, key, "worker accepts no work", now);
+            return;
+        }
+        if !worker.has_room_to_start(key) {
+            self.put_back(id, key, "capacity has shrunk", now);
             return;
         }
         let Some(ticket) = self.ticket_for(id, key, now) else {
-            self.stop(id, key, now);
+            self.put_back(id, key, "no valid ticket", now);
             return;
         };
         let (Some(job), Some(worker)) = (self.jobs.get_mut(&key.job), self.workers.get_mut(id))
@@ -213,6 +227,39 @@
         }));
     }
 
+    /// Ends a run whose start may not be sent, and the other members of its gang, which would wait
+    /// for it in vain.
+    fn put_back(&mut self, id: &WorkerId, key: &TaskKey, reason: &str, now: Millis) {
+        tracing::info!(task = %key, worker = %id, reason, "start is withheld; the task is put back");
+        self.replan = true;
+        self.stop(id, key, now);
+        for (worker, member) in self.gang_members(key) {
+            self.stop(&worker, &member, now);
+        }
+    }
+
+    /// Returns the runs of a task's gang with their workers; empty if the task has none.
+    fn gang_members(&self, key: &TaskKey) -> Vec<(WorkerId, TaskKey)> {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return Vec::new();
+        };
+        let gang = job
+            .instance_of(key)
+            .filter(|instance| job.step(*instance).gang);
+        let Some(instance) = gang else {
+            return Vec::new();
+        };
+        let tasks = job.instances[instance].tasks.iter().enumerate();
+        tasks
+            .filter_map(|(index, task)| {
+                Some((
+                    task.place.as_ref()?.worker.clone(),
+                    job.key(instance, index),
+                ))
+            })
+            .collect()
+    }
+
     /// Returns the ticket for a start, empty if the queue needs none; `None` if a required ticket
     /// is missing.
     fn ticket_for(&self, id: &WorkerId, key: &TaskKey, now: Millis) -> Option<String> {
--- a/src/scheduler/selection.rs
+++ b/src/scheduler/selection.rs
@@ -39,7 +39,9 @@
         let mut best: Option<(u64, &Worker)> = None;
         let mut failure = NotFound::NoRoom;
         for worker in self.workers.values() {
-            if !reservation.fits(&worker.free()) || !request.is_eligible(worker, now) {
+            if !worker.has_room_for(&reservation, &Resources::default())
+                || !request.is_eligible(worker, now)
+            {
                 continue;
             }
             let suspect = worker.health.is_suspect(now);
@@ -90,7 +92,10 @@
     /// Returns whether tasks of this service and label may run on a worker, apart from its free
     /// resources.
     pub fn is_eligible(&self, worker: &Worker, now: Millis) -> bool {
-        if !worker.fenced || worker.missed_polls > 0 || worker.health.is_cooling_down(now) {
+        if !worker.fenced || worker.entry_is_old || worker.missed_polls > 0 {
+            return false;
+        }
+        if worker.health.is_cooling_down(now) {
             return false;
         }
         let eligible = worker.entry.as_ref().is_some_and(|entry| {
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -50,6 +50,8 @@
     pub(super) resume: Resume,
     /// Something has changed since the last round of planning.
     pub(super) replan: bool,
+    /// Time of the last answered watch of entries; `None` before the first.
+    pub(super) entries_watched_at: Option<Millis>,
     /// The leader is authorised to send new starts.
     pub(super) may_start: bool,
 }
@@ -72,6 +74,7 @@
             advice: HashMap::new(),
             resume: Resume::default(),
             replan: true,
+            entries_watched_at: None,
             may_start: true,
         }
     }
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -2,7 +2,9 @@
 //! service.
 #![allow(dead_code)]
 
+mod capacity;
 mod client;
+mod crashes;
 mod proxy;
 mod store;
 mod workers;
@@ -25,11 +27,13 @@
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
 
+pub use capacity::{CAPACITY, HEARTBEAT_INTERVAL};
 pub use client::Client;
 pub use proxy::FaultProxy;
 pub use store::StoreStandin;
-pub use workers::{Observations, WorkerStandin};
+pub use workers::{DEADLY, Observations, WorkerStandin};
 
 /// Response of a stand-in; `None` leaves the caller without a response.
 pub type JsonResponse = Option<(StatusCode, Value)>;
@@ -83,6 +87,7 @@
     /// Proxies in front of the workers.
     pub worker_links: Vec<FaultProxy>,
     dir: PathBuf,
+    dropped: CancellationToken,
     keep_logs: bool,
 }
 
@@ -142,6 +147,7 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
+        self.dropped.cancel();
         for daemon in &mut self.daemons {
             // Fails for a daemon that has already exited.
             let _ = daemon.child.kill();
@@ -187,6 +193,7 @@
             observed: Arc::default(),
             worker_links: Vec::new(),
             dir,
+            dropped: CancellationToken::new(),
             keep_logs: false,
         };
         for at in 0..workers {
@@ -194,6 +201,7 @@
             site.worker_links.push(FaultProxy::start(worker.addr).await);
             site.workers.push(worker);
             site.register(at);
+            site.start_heartbeats(at);
         }
         for _ in 0..daemons {
             site.add_daemon().await;
@@ -223,6 +231,21 @@
         self.store.put(&format!("servers/{}", worker.id), &entry);
     }
 
+    /// Lets a worker write its entry periodically until the site is dropped.
+    fn start_heartbeats(&self, at: usize) {
+        let (worker, address) = (self.workers[at].clone(), self.worker_links[at].addr);
+        let (store, dropped) = (self.store.clone(), self.dropped.clone());
+        tokio::spawn(async move {
+            let key = format!("servers/{}", worker.id);
+            while !dropped.is_cancelled() {
+                tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+                if worker.is_up() {
+                    store.put_if_up(&key, &worker.entry(address));
+                }
+            }
+        });
+    }
+
     /// Starts an advice service that allows only the first worker.
     async fn start_advice_service() -> SocketAddr {
         serve(|_, _, _| async {
@@ -340,6 +363,13 @@
     })
 }
 
+/// Returns a job of one task that crashes every worker that starts it.
+pub fn deadly_job() -> Value {
+    json!({"spec": DEADLY, "steps": [
+        {"count": 1, "cpu": 1000, "memMb": 1000, "estimateMs": 400},
+    ]})
+}
+
 /// Returns a job of one step.
 pub fn one_step_job(tasks: u64, estimate: u64) -> Value {
     json!({"spec": "x", "steps": [
