Stop the next run of a task when an earlier one has completed it

The completion of a run that had counted as lost marked the task as done, but a next run that waited for its record was still started (TWICE). The new test fails without the change.

--- a/src/scheduler/worker_events.rs
+++ b/src/scheduler/worker_events.rs
@@ -149,7 +149,12 @@
                     }
                 }
                 found.done = found.tasks.iter().filter(|task| task.done).count();
-                if job.is_done() {
+                let other = found.tasks[index].place.clone();
+                let is_done = job.is_done();
+                if let Some(other) = other {
+                    self.stop(&other.worker, key, now);
+                }
+                if is_done {
                     self.end_job(&key.job, Phase::Completed, now, wall);
                 }
             }
