Count crashes of workers under a task and give the task up

Now the record of a task holds the number of workers in a row that crashed under it, written together with the cleared placement. From two crashes on the task is tried apart from other new or suspected runs, where a crash wastes least; it is given up after three crashes if it was the only suspect of the last, after four in any case. Planned ends of draining workers and silent workers that return count for nothing; an end on a sound worker or 10 s on one clears the task.

On this platform a crashed worker returns under another id at its address, so a silent worker counts as crashed too once a newer one has its address.

Log lines: one for each crashed worker with its runs and suspects, one when a task has crashed two or more, one when it is given up.

--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -1,5 +1,6 @@
 //! Writes job records in batches, and sends the starts and acknowledgements that wait for them.
 
+use super::crash::{TRIAL_PERIOD, needs_trial};
 use super::worker::RunState;
 use super::{Command, Phase, Scheduler, StartCommand, TaskKey};
 use crate::prelude::*;
@@ -185,6 +186,9 @@
         if !is_retry {
             run.started_at = now;
             run.progressed_at = now;
+            if needs_trial(run.crashes) {
+                worker.trial_until = now + TRIAL_PERIOD;
+            }
         }
         job.started = true;
         let number = run.run;
--- /dev/null
+++ b/src/scheduler/crash.rs
@@ -0,0 +1,117 @@
+//! What follows for a task when workers crash under it.
+
+use super::worker::{Run, RunState};
+use super::{RunOutcome, TaskKey};
+use crate::prelude::*;
+
+/// Time on one worker after which a run is not suspected of a crash, and its task no longer of
+/// earlier ones.
+pub(super) const CLEARED_AFTER: Millis = Millis(10_000);
+
+/// Length of a trial: a suspected task that crashes its worker does so within this time.
+pub(super) const TRIAL_PERIOD: Millis = Millis(3000);
+
+/// Crashes in a row from which a task is tried apart from other new and suspected runs.
+const CRASHES_TO_TRY_ALONE: u32 = 2;
+
+/// Crashes in a row after which a task is given up if it was the only suspect of the last one.
+const CRASHES_TO_GIVE_UP_ALONE: u32 = 3;
+
+/// Crashes in a row after which a task is given up whatever ran beside it.
+const CRASHES_TO_GIVE_UP: u32 = 4;
+
+/// What follows from the crashes under a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Verdict {
+    /// The task starts again, away from other suspects if possible.
+    Suspected,
+    /// The task starts again without other new or suspected runs on its worker.
+    TryAlone,
+    /// The task does not start again, and its job fails.
+    GiveUp,
+}
+
+/// Decides on a task after `crashes` workers in a row have crashed under it.
+pub(super) fn verdict(crashes: u32, alone: bool) -> Verdict {
+    if crashes >= CRASHES_TO_GIVE_UP || (alone && crashes >= CRASHES_TO_GIVE_UP_ALONE) {
+        Verdict::GiveUp
+    } else if needs_trial(crashes) {
+        Verdict::TryAlone
+    } else {
+        Verdict::Suspected
+    }
+}
+
+/// Returns whether a task is tried alone after this number of crashes.
+pub(super) fn needs_trial(crashes: u32) -> bool {
+    crashes >= CRASHES_TO_TRY_ALONE
+}
+
+/// Returns whether the end of a run on a sound worker clears its task. A stop may come before the
+/// task has done anything.
+pub(super) fn run_clears_task(outcome: RunOutcome, run: Option<&Run>, now: Millis) -> bool {
+    outcome != RunOutcome::Interrupted
+        || run.is_some_and(|run| now.since(run.started_at) >= TRIAL_PERIOD)
+}
+
+/// A run that was lost with its worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct LostRun {
+    pub key: TaskKey,
+    pub run: u32,
+    /// Crashes under the task at its assignment.
+    pub crashes: u32,
+    /// Time from the start to the last report of the worker.
+    pub survived: Millis,
+}
+
+impl LostRun {
+    /// Returns what a crash of the worker says about a run; `None` if the run had not been started
+    /// or is known to have been stopped.
+    pub fn new(key: &TaskKey, run: &Run, last_report_at: Millis) -> Option<Self> {
+        let may_be_present = match run.state {
+            RunState::Planned { .. } => false,
+            RunState::Sent | RunState::Running => true,
+            RunState::Stopping => run.settled_at.is_none(),
+        };
+        (may_be_present && !run.left_over).then(|| Self {
+            key: key.clone(),
+            run: run.run,
+            crashes: run.crashes,
+            survived: last_report_at.since(run.started_at),
+        })
+    }
+
+    fn is_suspect(&self) -> bool {
+        self.survived < CLEARED_AFTER
+    }
+
+    /// Returns whether the run was neither new on its worker nor suspected.
+    fn is_settled(&self) -> bool {
+        self.crashes == 0 && self.survived >= TRIAL_PERIOD
+    }
+}
+
+/// A worker process that is gone, or perhaps only cut off, and the runs that it had.
+#[derive(Clone, Debug)]
+pub(super) struct LostWorker {
+    pub id: WorkerId,
+    pub address: String,
+    pub incarnation: u64,
+    /// Runs that had been started.
+    pub runs: Vec<LostRun>,
+    pub at: Millis,
+}
+
+impl LostWorker {
+    /// Returns the runs that may have crashed the worker.
+    pub fn suspects(&self) -> impl Iterator<Item = &LostRun> {
+        self.runs.iter().filter(|run| run.is_suspect())
+    }
+
+    /// Returns whether no other run can have crashed the worker.
+    pub fn is_only_suspect(&self, suspect: &LostRun) -> bool {
+        let mut others = self.runs.iter().filter(|run| run.key != suspect.key);
+        others.all(LostRun::is_settled)
+    }
+}
--- /dev/null
+++ b/src/scheduler/crash_tracker.rs
@@ -0,0 +1,164 @@
+//! Notices crashes of workers and counts them for the tasks that ran there.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::crash::{LostRun, LostWorker, Verdict, verdict};
+use super::{Phase, Scheduler, TaskKey, WorkerEntry};
+use crate::prelude::*;
+
+/// Time for which a silent worker and a crashed address are remembered; a crashed worker is back
+/// within a few seconds.
+const REMEMBERED_FOR: Millis = Millis(30_000);
+
+/// Crashes and silent workers of the last seconds.
+#[derive(Debug, Default)]
+pub(super) struct CrashTracker {
+    /// Workers whose leases have lapsed and that may have crashed or may only be cut off.
+    silent: BTreeMap<WorkerId, LostWorker>,
+    /// Time of the last crash at each address.
+    crashed_at: HashMap<String, Millis>,
+}
+
+impl CrashTracker {
+    /// Remembers a worker whose lease has lapsed.
+    pub fn remember_silent(&mut self, lost: LostWorker) {
+        let now = lost.at;
+        self.silent
+            .retain(|_, known| now.since(known.at) < REMEMBERED_FOR);
+        if !lost.runs.is_empty() {
+            self.silent.insert(lost.id.clone(), lost);
+        }
+    }
+
+    /// Forgets a silent worker that answers again.
+    pub fn forget_silent(&mut self, id: &WorkerId, incarnation: u64) {
+        if self
+            .silent
+            .get(id)
+            .is_some_and(|known| known.incarnation == incarnation)
+        {
+            self.silent.remove(id);
+        }
+    }
+
+    /// Takes the silent workers that a newer process has replaced under their id or at their
+    /// address.
+    fn take_replaced(
+        &mut self,
+        id: &WorkerId,
+        address: &str,
+        incarnation: u64,
+        now: Millis,
+    ) -> Vec<LostWorker> {
+        let mut replaced = Vec::new();
+        self.silent.retain(|_, known| {
+            let same_place = known.id == *id || (!address.is_empty() && known.address == address);
+            let is_replaced = same_place && known.incarnation < incarnation;
+            if is_replaced && now.since(known.at) < REMEMBERED_FOR {
+                replaced.push(known.clone());
+            }
+            !is_replaced
+        });
+        replaced
+    }
+
+    fn record_crash(&mut self, address: &str, now: Millis) {
+        self.crashed_at
+            .retain(|_, at| now.since(*at) < REMEMBERED_FOR);
+        self.crashed_at.insert(address.to_string(), now);
+    }
+
+    /// Returns whether a worker at this address has crashed lately.
+    pub fn has_crashed(&self, address: &str, now: Millis) -> bool {
+        self.crashed_at
+            .get(address)
+            .is_some_and(|at| now.since(*at) < REMEMBERED_FOR)
+    }
+}
+
+impl Scheduler {
+    /// Returns what a crash of a worker would say about its runs; `None` if the worker was leaving.
+    pub(super) fn lost_worker(&self, id: &WorkerId, now: Millis) -> Option<LostWorker> {
+        let worker = self.workers.get(id)?;
+        (!worker.leaving).then(|| LostWorker {
+            id: id.clone(),
+            address: worker.address.clone(),
+            incarnation: worker.incarnation,
+            runs: worker
+                .runs
+                .iter()
+                .filter_map(|(key, run)| LostRun::new(key, run, worker.last_report_at))
+                .collect(),
+            at: now,
+        })
+    }
+
+    /// Counts the crashes of silent workers that a newer process has replaced.
+    pub(super) fn count_replaced(&mut self, entry: &WorkerEntry, now: Millis) {
+        let replaced =
+            self.crashes
+                .take_replaced(&entry.id, &entry.address, entry.incarnation, now);
+        for lost in replaced {
+            self.count_crash(&lost, now);
+        }
+    }
+
+    /// Counts the crash of a worker at whose address another incarnation has answered.
+    pub(super) fn count_dead(&mut self, id: &WorkerId, lost: Option<LostWorker>, now: Millis) {
+        let silent = self.crashes.silent.remove(id);
+        for lost in silent.into_iter().chain(lost) {
+            self.count_crash(&lost, now);
+        }
+    }
+
+    /// Counts the crash of a worker for the tasks that may have caused it.
+    pub(super) fn count_crash(&mut self, lost: &LostWorker, now: Millis) {
+        self.crashes.record_crash(&lost.address, now);
+        let suspects = lost.suspects().count();
+        tracing::warn!(worker = %lost.id, born = lost.incarnation, runs = lost.runs.len(), suspects, "worker has crashed");
+        for suspect in lost.suspects() {
+            self.count_crash_under(lost, suspect, now);
+        }
+    }
+
+    fn count_crash_under(&mut self, lost: &LostWorker, suspect: &LostRun, now: Millis) {
+        let key = &suspect.key;
+        let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.is_active()) else {
+            return;
+        };
+        let Some(task) = job
+            .task_mut(key)
+            .filter(|task| !task.done && task.run >= suspect.run)
+        else {
+            return;
+        };
+        task.crashes += 1;
+        let crashes = task.crashes;
+        job.version += 1;
+        self.dirty.insert(&key.job, now);
+        let alone = lost.is_only_suspect(suspect);
+        match verdict(crashes, alone) {
+            Verdict::Suspected => {}
+            Verdict::TryAlone => {
+                tracing::info!(task = %key, run = suspect.run, worker = %lost.id, crashes, alone, "task is suspected of crashing workers");
+            }
+            Verdict::GiveUp => {
+                tracing::warn!(task = %key, run = suspect.run, worker = %lost.id, crashes, alone, "task crashes its workers and is given up");
+                let wall = self.wall_at(now);
+                self.end_job(&key.job, Phase::Failed, now, wall);
+            }
+        }
+    }
+
+    /// Clears a task whose run has been on its worker for long.
+    pub(super) fn clear_crashes(&mut self, key: &TaskKey, now: Millis) {
+        if let Some(job) = self.jobs.get_mut(&key.job)
+            && let Some(task) = job.task_mut(key)
+            && task.crashes > 0
+        {
+            task.crashes = 0;
+            job.version += 1;
+            self.dirty.insert(&key.job, now);
+        }
+    }
+}
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -2,10 +2,12 @@
 
 use std::collections::HashMap;
 
+use super::crash::needs_trial;
 use super::order::{Rank, WaitingJob, rank};
 use super::round::Round;
 use super::selection::PlacementRequest;
 use super::state::new_run;
+use super::trial::Trial;
 use super::worker::RunState;
 use super::{Job, Queue, Scheduler};
 use crate::prelude::*;
@@ -156,6 +158,7 @@
         let mut placed = Vec::new();
         for index in open {
             let failures = job.instances[instance].tasks[index].failures;
+            let crashes = job.instances[instance].tasks[index].crashes;
             let request = PlacementRequest {
                 step,
                 service: &queue.service,
@@ -164,8 +167,19 @@
                 last_attempt: failures > 0 && failures + 1 >= queue.max_attempts,
                 overdue: round.is_overdue(job),
                 advice: advice.as_ref(),
+                crashes,
             };
-            let found = if round.is_known_to_fail(step, &queue.service) && !request.overdue {
+            let trial = if needs_trial(crashes) {
+                self.find_trial(&request, job.key(instance, index), now)
+            } else {
+                Trial::Anywhere
+            };
+            if trial == Trial::Wait {
+                continue;
+            }
+            let found = if let Trial::On(worker) = trial {
+                Some(worker)
+            } else if round.is_known_to_fail(step, &queue.service) && !request.overdue {
                 None
             } else {
                 let found = self.select_worker(&request, now);
@@ -181,6 +195,7 @@
                 continue;
             };
             let key = job.key(instance, index);
+            self.trials.remove(&key);
             let Some(found) = self.workers.get_mut(&worker) else {
                 break;
             };
@@ -196,6 +211,7 @@
             run.state = RunState::Planned {
                 version: job.version + 1,
             };
+            run.crashes = crashes;
             found.add_run(key.clone(), run);
             self.refresh_margin(&worker);
             if step.max_per_worker.is_some() {
--- a/src/scheduler/record.rs
+++ b/src/scheduler/record.rs
@@ -29,6 +29,14 @@
     pub place: Option<Placement>,
     /// Checkpoint from which the next run resumes; empty if there is none.
     pub checkpoint: String,
+    /// Number of workers in a row that crashed under the task. The last field, since a record
+    /// without crashes ends before it.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub crashes: u32,
+}
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 /// The incarnation of a worker that a run is placed on.
--- a/src/scheduler/selection.rs
+++ b/src/scheduler/selection.rs
@@ -28,7 +28,15 @@
 /// Cost of a worker whose last run failed.
 const SUSPECT_COST: u64 = 24_000;
 
+/// Cost of a worker that a task suspected of crashing workers would share with another such task.
+const SHARED_SUSPECT_COST: u64 = 100_000;
+
 impl Scheduler {
+    /// Returns the cost of a worker for a task; `None` if it cannot take the task.
+    pub(super) fn cost(&self, worker: &Worker, request: &PlacementRequest) -> Option<u64> {
+        cost(worker, request, &self.interference)
+    }
+
     /// Returns the cheapest worker with enough free resources for one task of a step.
     pub(super) fn select_worker(
         &self,
@@ -45,10 +53,12 @@
             if suspect && request.last_attempt {
                 continue;
             }
-            let Some(cost) = cost(worker, request, &self.interference) else {
+            let Some(cost) = self.cost(worker, request) else {
                 continue;
             };
             let cost = cost + u64::from(suspect) * SUSPECT_COST;
+            let shares_suspect = request.crashes > 0 && worker.suspects > 0;
+            let cost = cost + u64::from(shares_suspect) * SHARED_SUSPECT_COST;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, worker));
             }
@@ -72,12 +82,17 @@
     pub overdue: bool,
     /// Advice on the allowed workers, if the queue's policy does not allow all.
     pub advice: Option<&'a Advice>,
+    /// Workers in a row that crashed under the task.
+    pub crashes: u32,
 }
 
 impl PlacementRequest<'_> {
     /// Returns whether the task may run on a worker, apart from its free resources.
     pub fn allows(&self, worker: &Worker, now: Millis) -> bool {
-        if !worker.fenced || worker.missed_polls > 0 || worker.health.is_cooling_down(now) {
+        if !worker.fenced || worker.missed_polls > 0 || worker.has_trial(now) {
+            return false;
+        }
+        if worker.health.is_cooling_down(now) {
             return false;
         }
         let eligible = worker.entry.as_ref().is_some_and(|entry| {
@@ -109,6 +124,7 @@
             && self.step.max_per_worker.is_none()
             && self.advice.is_none()
             && !self.last_attempt
+            && self.crashes == 0
     }
 }
 
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -3,8 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::advice::{Advice, StepKey};
+use super::crash_tracker::CrashTracker;
 use super::interference::Interference;
 use super::record_queue::RecordQueue;
+use super::trial::TrialQueue;
 use super::worker::{Run, RunState};
 use super::{
     Command, Job, JobRecord, JobSpec, JobView, Phase, Placement, QueueTable, StopCommand, TaskKey,
@@ -46,6 +48,10 @@
     pub(super) active: BTreeSet<JobId>,
     pub(super) interference: Interference,
     pub(super) advice: HashMap<StepKey, Advice>,
+    pub(super) crashes: CrashTracker,
+    pub(super) trials: TrialQueue,
+    /// The last time of day that was passed in, and when.
+    pub(super) wall: (Millis, Timestamp),
     /// Something has changed since the last round of planning.
     pub(super) replan: bool,
     /// The leader is authorised to send new starts.
@@ -68,6 +74,9 @@
             active: BTreeSet::new(),
             interference: Interference::default(),
             advice: HashMap::new(),
+            crashes: CrashTracker::default(),
+            trials: TrialQueue::new(),
+            wall: (now, Timestamp(0)),
             replan: true,
             may_start: true,
         }
@@ -85,6 +94,12 @@
         self.replan = true;
     }
 
+    /// Estimates the time of day from the last one that was passed in.
+    pub(super) fn wall_at(&self, now: Millis) -> Timestamp {
+        let (at, wall) = self.wall;
+        Timestamp(wall.0 + now.since(at).0)
+    }
+
     /// Adds an accepted job, with its record if a former leader has written one.
     pub fn add_job(
         &mut self,
@@ -94,6 +109,7 @@
         now: Millis,
         wall: Timestamp,
     ) {
+        self.wall = (now, wall);
         if self.jobs.contains_key(&id) {
             return;
         }
@@ -117,10 +133,12 @@
                 let (Some(place), run) = (task.place.clone(), task.run) else {
                     continue;
                 };
+                let crashes = task.crashes;
                 let key = job.key(instance, index);
                 let mut placed_run = new_run(&job, instance, run, priority, now);
                 placed_run.state = RunState::Running;
                 placed_run.settled_at = Some(Millis::ZERO);
+                placed_run.crashes = crashes;
                 let worker = self.worker(&place.worker, place.incarnation);
                 worker.add_run(key, placed_run);
             }
@@ -167,6 +185,7 @@
         job.version += 1;
         self.dirty.insert(id, now);
         self.active.remove(id);
+        self.trials.retain(|key, _| key.job != *id);
         self.advice.retain(|(job, _), _| job != id);
         self.replan = true;
         let mut stops = Vec::new();
--- a/src/scheduler/tick.rs
+++ b/src/scheduler/tick.rs
@@ -46,16 +46,22 @@
             .map(|worker| worker.id.clone())
             .collect();
         for id in expired {
+            let lost = self.lost_worker(&id, now);
             self.release_all_runs(&id, "lapsed", now);
+            if let Some(lost) = lost {
+                self.crashes.remember_silent(lost);
+            }
         }
     }
 
     /// Marks a worker as dead after another incarnation answered at its address.
     pub fn mark_worker_dead(&mut self, id: &WorkerId, now: Millis) {
+        let lost = self.lost_worker(id, now);
         self.release_all_runs(id, "another incarnation answered", now);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.entry = None;
         }
+        self.count_dead(id, lost, now);
     }
 
     /// Releases all runs of a worker whose end is certain.
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use super::crash::{TRIAL_PERIOD, needs_trial};
 use super::slack::SlackEstimate;
 use super::worker_health::WorkerHealth;
 use super::{Placement, TaskKey};
@@ -78,6 +79,10 @@
     pub pace_changed_at: Millis,
     /// Estimate of the slack below the latency target.
     pub slack: SlackEstimate,
+    /// Crashes under the task at the assignment of the run.
+    pub crashes: u32,
+    /// Left over from the incarnation before, whose end has been counted.
+    pub left_over: bool,
 }
 
 impl Run {
@@ -113,6 +118,8 @@
             pace: 100,
             pace_changed_at: Millis::ZERO,
             slack: SlackEstimate::default(),
+            crashes: 0,
+            left_over: false,
         }
     }
 }
@@ -152,6 +159,12 @@
     /// Unanswered polls since the last report; at least 1 after an unanswered start.
     pub(super) missed_polls: u32,
     pub(super) health: WorkerHealth,
+    /// The last entry of this incarnation was that of a draining worker.
+    pub(super) leaving: bool,
+    /// Number of runs whose tasks are suspected of crashing workers.
+    pub(super) suspects: u32,
+    /// End of the trial of a suspected task.
+    pub(super) trial_until: Millis,
 }
 
 impl Worker {
@@ -174,6 +187,10 @@
         if run.target.is_some() {
             self.serving_runs += 1;
         }
+        self.suspects += u32::from(run.crashes > 0);
+        if needs_trial(run.crashes) {
+            self.trial_until = run.started_at + TRIAL_PERIOD;
+        }
         self.expected_cpu += run.expected_cpu();
         self.margins = None;
         self.runs.insert(key, run);
@@ -188,11 +205,25 @@
         if run.target.is_some() {
             self.serving_runs = self.serving_runs.saturating_sub(1);
         }
+        self.suspects = self.suspects.saturating_sub(u32::from(run.crashes > 0));
+        if needs_trial(run.crashes) {
+            self.trial_until = Millis::ZERO;
+        }
         self.expected_cpu = self.expected_cpu.saturating_sub(run.expected_cpu());
         self.margins = None;
         Some(run)
     }
 
+    /// Clears a run of the suspicion of crashing workers.
+    pub(super) fn clear_suspect(&mut self, key: &TaskKey) {
+        if let Some(run) = self.runs.get_mut(key)
+            && run.crashes > 0
+        {
+            run.crashes = 0;
+            self.suspects = self.suspects.saturating_sub(1);
+        }
+    }
+
     /// Returns whether the worker is registered and not draining.
     pub(super) fn accepts_work(&self) -> bool {
         self.entry.as_ref().is_some_and(|entry| !entry.draining)
--- a/src/scheduler/worker_entries.rs
+++ b/src/scheduler/worker_entries.rs
@@ -27,6 +27,10 @@
         if is_newer {
             self.begin_incarnation(&id, entry.incarnation, now);
         }
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.leaving = entry.draining;
+        }
+        self.count_replaced(&entry, now);
         if draining {
             self.stop_long_running_runs(&id, now);
         }
@@ -56,6 +60,7 @@
     /// Starts a new incarnation of a worker: the runs of the old one have ended, except for starts
     /// that the new one may have executed.
     pub(super) fn begin_incarnation(&mut self, id: &WorkerId, incarnation: u64, now: Millis) {
+        let lost = self.lost_worker(id, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -69,6 +74,7 @@
         worker.acknowledged = 0;
         worker.unacknowledged.clear();
         worker.missed_polls = 0;
+        worker.leaving = false;
         let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
         let mut freed = Vec::new();
         let mut stops = Vec::new();
@@ -80,6 +86,7 @@
                 run.state = RunState::Stopping;
                 run.settled_at = None;
                 run.listed = false;
+                run.left_over = true;
                 stops.push(key);
                 continue;
             }
@@ -104,6 +111,9 @@
         for key in stops {
             self.send_stop(id, &key, now);
         }
+        if let Some(lost) = lost {
+            self.count_crash(&lost, now);
+        }
         self.replan = true;
     }
 }
--- a/src/scheduler/worker_events.rs
+++ b/src/scheduler/worker_events.rs
@@ -1,5 +1,6 @@
 //! Handles the reports and responses of workers.
 
+use super::crash::{CLEARED_AFTER, run_clears_task};
 use super::worker::{Run, RunState};
 use super::{
     Phase, Placement, RunCompletion, RunOutcome, RunStatus, Scheduler, StartResponse, TaskKey,
@@ -23,12 +24,14 @@
         wall: Timestamp,
         report: &WorkerReport,
     ) {
+        self.wall = (now, wall);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         if report.incarnation < worker.incarnation {
             return;
         }
+        self.crashes.forget_silent(id, report.incarnation);
         if report.incarnation > worker.incarnation {
             self.begin_incarnation(id, report.incarnation, now);
         }
@@ -137,6 +140,12 @@
                 }
             }
         }
+        if (current || run.is_some())
+            && run_clears_task(end.outcome, run, now)
+            && let Some(task) = job.task_mut(key)
+        {
+            task.crashes = 0;
+        }
         job.version += 1;
         self.dirty.insert(&key.job, now);
         match end.outcome {
@@ -183,11 +192,14 @@
 
     fn apply_run_status(&mut self, id: &WorkerId, status: &RunStatus, now: Millis) {
         let known = self.jobs.get_mut(&status.task.job);
+        let mut crashes = 0;
         let wanted = known.is_some_and(|job| {
             job.started = true;
             let active = job.is_active();
-            job.task_mut(&status.task)
-                .is_some_and(|task| active && !task.done && task.run == status.run)
+            job.task_mut(&status.task).is_some_and(|task| {
+                crashes = task.crashes;
+                active && !task.done && task.run == status.run
+            })
         });
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -205,6 +217,11 @@
                 run.progressed_at = now;
             }
             run.gauge = status.gauge;
+            let is_cleared = crashes > 0 && now.since(run.started_at) >= CLEARED_AFTER;
+            if is_cleared {
+                worker.clear_suspect(&status.task);
+                self.clear_crashes(&status.task, now);
+            }
             if !wanted {
                 self.stop(id, &status.task, now);
             } else if !status.checkpoint.is_empty()
