Let tasks crash their workers in the random model

In 4% of the jobs the first task crashes each worker that starts it; the worker is back after 3 s. The oracle allows two starts after the third crash, and no other job may fail without ends failed of its own or three workers in a row that were lost or silent under one of its tasks.

--- a/tests/scheduler_model.rs
+++ b/tests/scheduler_model.rs
@@ -12,7 +12,8 @@
 const CALM_MS: u64 = 90_000;
 
 /// Guards against tasks on two workers, starts after an acknowledged completion, workers over their
-/// capacity, steps out of order, attempts beyond the limit, and jobs that never end. They come
+/// capacity, steps out of order, attempts beyond the limit, tasks that go on crashing workers, jobs
+/// that fail because of another job's crashes, and jobs that never end. They come
 /// about when leaders are replaced while they act, workers are partitioned or die, and responses
 /// are lost or delayed.
 #[test]
@@ -29,14 +30,15 @@
         let mut sim = Sim::new(seed);
         let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
             sim.simulate(FAULTY_MS, CALM_MS);
-            sim.unfinished()
+            (sim.unfinished(), sim.failed_without_cause())
         }));
         match outcome {
-            Ok(unfinished) => {
+            Ok((unfinished, failed)) => {
                 assert!(
                     unfinished.is_empty(),
                     "seed {seed}: unfinished {unfinished:?}"
                 );
+                assert!(failed.is_empty(), "seed {seed}: failed {failed:?}");
                 assert!(sim.starts > 0, "seed {seed}: nothing ran");
             }
             Err(err) => {
--- a/tests/scheduler_support/sim.rs
+++ b/tests/scheduler_support/sim.rs
@@ -19,6 +19,15 @@
 const OLD_LEADER_STARTS_MS: u64 = 1500;
 const OLD_LEADER_POLLS_MS: u64 = 5500;
 
+/// Time for which a worker is away after a task has crashed it.
+const CRASH_MS: u64 = 3000;
+
+/// Starts of a task after three workers have crashed under it; a third one breaks the budget.
+const MAX_STARTS_AFTER_CRASHES: u32 = 2;
+
+/// Workers in a row that must have crashed under a task before its job may fail for it.
+const CRASHES_TO_FAIL: u32 = 3;
+
 const WORKERS: usize = 6;
 const WORKER_CPU: u64 = 8000;
 const WORKER_MEMORY: u64 = 16_000;
@@ -64,6 +73,20 @@
     acknowledged_done: BTreeSet<TaskKey>,
     done: BTreeSet<TaskKey>,
     acknowledged_failures: HashMap<TaskKey, u32>,
+    /// Decides which jobs crash their workers, apart from all other choices.
+    deadly_rng: ChaCha8Rng,
+    /// Jobs whose first task crashes each worker that starts it.
+    deadly: BTreeSet<JobId>,
+    /// Number of workers that each task has crashed.
+    crashes: HashMap<TaskKey, u32>,
+    /// Workers in a row that crashed, for whatever reason, while they had each task or might have
+    /// had it, and the largest such number.
+    crashes_in_a_row: HashMap<TaskKey, u32>,
+    most_crashes_in_a_row: HashMap<TaskKey, u32>,
+    /// Runs whose workers did not answer a start.
+    unanswered: BTreeSet<(TaskKey, u32)>,
+    /// Ends `failed` of each task.
+    failures: HashMap<TaskKey, u32>,
     pub starts: usize,
 }
 
@@ -83,6 +106,13 @@
             acknowledged_done: BTreeSet::new(),
             done: BTreeSet::new(),
             acknowledged_failures: HashMap::new(),
+            deadly_rng: ChaCha8Rng::seed_from_u64(seed ^ 0xdead),
+            deadly: BTreeSet::new(),
+            crashes: HashMap::new(),
+            crashes_in_a_row: HashMap::new(),
+            most_crashes_in_a_row: HashMap::new(),
+            unanswered: BTreeSet::new(),
+            failures: HashMap::new(),
             starts: 0,
         };
         sim.take_over();
@@ -120,6 +150,25 @@
         self.specs.keys().filter(|id| open(id)).cloned().collect()
     }
 
+    /// Returns the jobs that have failed although no task has used up its attempts, crashes workers
+    /// or has seen several of them crash.
+    pub fn failed_without_cause(&self) -> Vec<JobId> {
+        let sched = &self.terms.last().expect("a leader").sched;
+        let has_cause = |id: &JobId| {
+            let most = queues().queues[&self.specs[id].queue].max_attempts;
+            let mut failures = self.failures.iter();
+            let mut crashes = self.most_crashes_in_a_row.iter();
+            self.deadly.contains(id)
+                || failures.any(|(key, failures)| key.job == *id && *failures >= most)
+                || crashes.any(|(key, crashes)| key.job == *id && *crashes >= CRASHES_TO_FAIL)
+        };
+        let failed = |id: &JobId| sched.view(id) == Some(JobView::Failed);
+        let ids = self.specs.keys();
+        ids.filter(|id| failed(id) && !has_cause(id))
+            .cloned()
+            .collect()
+    }
+
     fn inject_fault(&mut self) {
         let now = self.now;
         if self.rng.random_bool(0.10) {
@@ -141,8 +190,8 @@
             self.workers[at].partitioned_until = now + self.rng.random_range(500..9000);
         }
         if self.rng.random_bool(0.01) {
-            self.workers[at].dead_until = now + self.rng.random_range(200..6000);
-            self.workers[at].runs.clear();
+            let away = self.rng.random_range(200..6000);
+            self.kill(at, away);
         }
         if self.rng.random_bool(0.005) {
             self.workers[at].faulty_until = now + 2000;
@@ -182,6 +231,9 @@
         let name = format!("j{}", self.specs.len());
         let spec = job(queue, steps);
         self.specs.insert(id(&name), spec.clone());
+        if self.deadly_rng.random_bool(0.04) {
+            self.deadly.insert(id(&name));
+        }
         let now = self.now;
         for term in &mut self.terms {
             submit(&mut term.sched, &name, spec.clone(), Millis(now));
@@ -272,6 +324,12 @@
                 if outcome == RunOutcome::Done {
                     self.done.insert(key.clone());
                 }
+                if outcome != RunOutcome::Interrupted {
+                    self.crashes_in_a_row.remove(&key);
+                }
+                if outcome == RunOutcome::Failed {
+                    *self.failures.entry(key.clone()).or_default() += 1;
+                }
                 worker.complete(&key, run, outcome);
             }
         }
@@ -425,6 +483,10 @@
                     return;
                 }
                 let response = if !self.reachable(term, at) {
+                    // The worker may have crashed under the task for all that the leader knows.
+                    if self.unanswered.insert((start.task.clone(), start.run)) {
+                        self.count_crash(&start.task);
+                    }
                     StartResponse::Unknown
                 } else if self.rng.random_bool(0.05) {
                     let incarnation = self.workers[at].incarnation;
@@ -528,9 +590,40 @@
             .insert(key.clone(), (run, now + duration, outcome));
         self.starts += 1;
         self.check_start(at, &key, &spec);
+        if self.deadly.contains(&key.job) && key.step == 0 && key.index == 0 {
+            self.crash(at, &key);
+        }
         StartResponse::Started
     }
 
+    /// Crashes a worker by a task that it has just started.
+    fn crash(&mut self, at: usize, key: &TaskKey) {
+        let crashes = self.crashes.entry(key.clone()).or_default();
+        *crashes += 1;
+        assert!(
+            *crashes <= 3 + MAX_STARTS_AFTER_CRASHES,
+            "{} ms: {key} has crashed {crashes} workers",
+            self.now
+        );
+        self.kill(at, CRASH_MS);
+    }
+
+    /// Ends a worker process, which is back after `away`.
+    fn kill(&mut self, at: usize, away: u64) {
+        let runs = std::mem::take(&mut self.workers[at].runs);
+        self.workers[at].dead_until = self.now + away;
+        for key in runs.keys() {
+            self.count_crash(key);
+        }
+    }
+
+    fn count_crash(&mut self, key: &TaskKey) {
+        let crashes = self.crashes_in_a_row.entry(key.clone()).or_default();
+        *crashes += 1;
+        let most = self.most_crashes_in_a_row.entry(key.clone()).or_default();
+        *most = (*most).max(*crashes);
+    }
+
     fn check_start(&self, at: usize, key: &TaskKey, spec: &JobSpec) {
         let elsewhere = self
             .workers
