--- a/src/scheduler/crash.rs
+++ b/src/scheduler/crash.rs
@@ -100,6 +100,8 @@
     pub incarnation: u64,
     /// Runs that had been started.
     pub runs: Vec<LostRun>,
+    /// The crash came while the worker had the runs; a silent worker may first have been cut off.
+    pub is_certain: bool,
     pub at: Millis,
 }
 
@@ -112,6 +114,6 @@
     /// Returns whether no other run can have crashed the worker.
     pub fn is_only_suspect(&self, suspect: &LostRun) -> bool {
         let mut others = self.runs.iter().filter(|run| run.key != suspect.key);
-        others.all(LostRun::is_settled)
+        self.is_certain && others.all(LostRun::is_settled)
     }
 }
--- a/src/scheduler/crash_tracker.rs
+++ b/src/scheduler/crash_tracker.rs
@@ -89,12 +89,35 @@
                 .iter()
                 .filter_map(|(key, run)| LostRun::new(key, run, worker.last_report_at))
                 .collect(),
+            is_certain: true,
             at: now,
         })
     }
 
-    /// Counts the crashes of silent workers that a newer process has replaced.
-    pub(super) fn count_replaced(&mut self, entry: &WorkerEntry, now: Millis) {
+    /// Counts or remembers a worker whose lease has lapsed.
+    pub(super) fn note_lapsed(&mut self, lost: Option<LostWorker>, now: Millis) {
+        let Some(mut lost) = lost else {
+            return;
+        };
+        if self
+            .workers
+            .get(&lost.id)
+            .is_some_and(|worker| worker.replaced)
+        {
+            self.count_crash(&lost, now);
+        } else {
+            lost.is_certain = false;
+            self.crashes.remember_silent(lost);
+        }
+    }
+
+    /// Marks the workers that a newer one has replaced, and counts those of them that are silent.
+    pub(super) fn note_replaced(&mut self, entry: &WorkerEntry, now: Millis) {
+        for worker in self.workers.values_mut() {
+            worker.replaced |= worker.id != entry.id
+                && worker.address == entry.address
+                && worker.incarnation < entry.incarnation;
+        }
         let replaced =
             self.crashes
                 .take_replaced(&entry.id, &entry.address, entry.incarnation, now);
--- a/src/scheduler/tick.rs
+++ b/src/scheduler/tick.rs
@@ -48,9 +48,7 @@
         for id in expired {
             let lost = self.lost_worker(&id, now);
             self.release_all_runs(&id, "lapsed", now);
-            if let Some(lost) = lost {
-                self.crashes.remember_silent(lost);
-            }
+            self.note_lapsed(lost, now);
         }
     }
 
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -161,6 +161,8 @@
     pub(super) health: WorkerHealth,
     /// The last entry of this incarnation was that of a draining worker.
     pub(super) leaving: bool,
+    /// A newer worker has registered at the address.
+    pub(super) replaced: bool,
     /// Number of runs whose tasks are suspected of crashing workers.
     pub(super) suspects: u32,
     /// End of the trial of a suspected task.
--- a/src/scheduler/worker_entries.rs
+++ b/src/scheduler/worker_entries.rs
@@ -30,7 +30,9 @@
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.leaving = entry.draining;
         }
-        self.count_replaced(&entry, now);
+        if changed {
+            self.note_replaced(&entry, now);
+        }
         if draining {
             self.stop_long_running_runs(&id, now);
         }
--- a/tests/crash_cases.rs
+++ b/tests/crash_cases.rs
@@ -375,6 +375,25 @@
     }
 }
 
+/// Guards against a crash that goes uncounted because a further worker has come to the address, and
+/// crashed too, before the leader reached it.
+#[test]
+fn a_worker_that_was_replaced_at_its_address_has_crashed() {
+    let mut sched = leader(Millis(0));
+    start_one(&mut sched, job("patient", vec![step(1, 1000, 1000)]));
+    let mut next = entry(1, 2, 8000, 8000);
+    next.id = worker_id(2);
+
+    sched.set_entry(next, Millis(3000));
+    sched.remove_entry(&worker_id(2));
+    for now in (3100..10_000).step_by(250).map(Millis) {
+        sched.on_poll_failure(&worker_id(1), "refused");
+        sched.tick(now);
+    }
+
+    assert_eq!(recorded_crashes(&mut sched, Millis(10_000)), 1);
+}
+
 /// Guards against suspicion of a task that has long been at work when its worker crashes.
 #[test]
 fn a_run_that_has_been_on_its_worker_for_long_is_not_suspected() {
