--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use super::crash::{TRIAL_PERIOD, needs_trial};
 use super::worker::RunState;
 use super::{Command, Phase, Scheduler, StartCommand, TaskKey};
 use crate::prelude::*;
@@ -206,6 +207,9 @@
         if !is_retry {
             run.started_at = now;
             run.progressed_at = now;
+            if needs_trial(run.crashes) {
+                worker.trial_until = now + TRIAL_PERIOD;
+            }
         }
         job.started = true;
         let number = run.run;
--- a/src/scheduler/tick.rs
+++ b/src/scheduler/tick.rs
@@ -46,16 +46,20 @@
             .map(|worker| worker.id.clone())
             .collect();
         for id in expired {
+            let lost = self.lost_worker(&id, now);
             self.release_all_runs(&id, "lapsed", now);
+            self.note_lapsed(lost, now);
         }
     }
 
     /// Marks a worker as dead after another incarnation answered at its address.
     pub fn mark_worker_dead(&mut self, id: &WorkerId, now: Millis) {
+        let lost = self.lost_worker(id, now);
         self.release_all_runs(id, "another incarnation answered", now);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.entry = None;
         }
+        self.count_dead(id, lost, now);
     }
 
     /// Releases all runs of a worker whose end is certain.
--- a/src/scheduler/worker_entries.rs
+++ b/src/scheduler/worker_entries.rs
@@ -29,6 +29,10 @@
         }
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.largest_cpu = worker.largest_cpu.max(entry.capacity.cpu);
+            worker.leaving = entry.draining;
+        }
+        if changed {
+            self.note_replaced(&entry, now);
         }
         if draining {
             self.stop_long_running_runs(&id, now);
@@ -59,6 +63,7 @@
     /// Starts a new incarnation of a worker: the runs of the old one have ended, except for starts
     /// that the new one may have executed.
     pub(super) fn begin_incarnation(&mut self, id: &WorkerId, incarnation: u64, now: Millis) {
+        let lost = self.lost_worker(id, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -73,6 +78,7 @@
         worker.unacknowledged.clear();
         worker.missed_polls = 0;
         worker.largest_cpu = Millicores::default();
+        worker.leaving = false;
         let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
         let mut freed = Vec::new();
         let mut stops = Vec::new();
@@ -84,6 +90,7 @@
                 run.state = RunState::Stopping;
                 run.settled_at = None;
                 run.listed = false;
+                run.left_over = true;
                 stops.push(key);
                 continue;
             }
@@ -108,6 +115,9 @@
         for key in stops {
             self.send_stop(id, &key, now);
         }
+        if let Some(lost) = lost {
+            self.count_crash(&lost, now);
+        }
         self.replan = true;
     }
 }
