Count a worker that is gone from the store until it answers again

Such a worker now counts as crashed once its runs have lapsed; it gives up nothing, and the count is taken back if the same incarnation answers again.

--- a/src/scheduler/crash.rs
+++ b/src/scheduler/crash.rs
@@ -102,6 +102,8 @@
     pub runs: Vec<LostRun>,
     /// The crash came while the worker had the runs; a silent worker may first have been cut off.
     pub is_certain: bool,
+    /// The crash has been counted already.
+    pub is_counted: bool,
     pub at: Millis,
 }
 
--- a/src/scheduler/crash_tracker.rs
+++ b/src/scheduler/crash_tracker.rs
@@ -30,15 +30,12 @@
         }
     }
 
-    /// Forgets a silent worker that answers again.
-    pub fn forget_silent(&mut self, id: &WorkerId, incarnation: u64) {
-        if self
-            .silent
+    /// Takes a silent worker that answers again.
+    fn take_returned(&mut self, id: &WorkerId, incarnation: u64) -> Option<LostWorker> {
+        self.silent
             .get(id)
             .is_some_and(|known| known.incarnation == incarnation)
-        {
-            self.silent.remove(id);
-        }
+            .then(|| self.silent.remove(id))?
     }
 
     /// Takes the silent workers that a newer process has replaced under their id or at their
@@ -90,25 +87,48 @@
                 .filter_map(|(key, run)| LostRun::new(key, run, worker.last_report_at))
                 .collect(),
             is_certain: true,
+            is_counted: false,
             at: now,
         })
     }
 
+    /// Takes back what was counted for a silent worker that answers again.
+    pub(super) fn note_returned(&mut self, id: &WorkerId, incarnation: u64, now: Millis) {
+        let Some(lost) = self.crashes.take_returned(id, incarnation) else {
+            return;
+        };
+        for suspect in lost.suspects().filter(|_| lost.is_counted) {
+            if let Some(job) = self.jobs.get_mut(&suspect.key.job)
+                && let Some(task) = job.task_mut(&suspect.key)
+                && task.crashes > 0
+            {
+                task.crashes -= 1;
+                job.version += 1;
+                self.dirty.insert(&suspect.key.job, now);
+            }
+        }
+    }
+
     /// Counts or remembers a worker whose lease has lapsed.
     pub(super) fn note_lapsed(&mut self, lost: Option<LostWorker>, now: Millis) {
         let Some(mut lost) = lost else {
             return;
         };
-        if self
-            .workers
-            .get(&lost.id)
-            .is_some_and(|worker| worker.replaced)
-        {
+        let Some(worker) = self.workers.get(&lost.id) else {
+            return;
+        };
+        if worker.replaced {
+            self.count_crash(&lost, now);
+            return;
+        }
+        lost.is_certain = false;
+        if worker.entry.is_none() {
+            // After a change of the leader its address is unknown, and nothing else would show
+            // that it has crashed.
+            lost.is_counted = true;
             self.count_crash(&lost, now);
-        } else {
-            lost.is_certain = false;
-            self.crashes.remember_silent(lost);
         }
+        self.crashes.remember_silent(lost);
     }
 
     /// Marks the workers that a newer one has replaced, and counts those of them that are silent.
@@ -121,14 +141,15 @@
         let replaced =
             self.crashes
                 .take_replaced(&entry.id, &entry.address, entry.incarnation, now);
-        for lost in replaced {
-            self.count_crash(&lost, now);
+        for lost in replaced.iter().filter(|lost| !lost.is_counted) {
+            self.count_crash(lost, now);
         }
     }
 
     /// Counts the crash of a worker at whose address another incarnation has answered.
     pub(super) fn count_dead(&mut self, id: &WorkerId, lost: Option<LostWorker>, now: Millis) {
         let silent = self.crashes.silent.remove(id);
+        let silent = silent.filter(|lost| !lost.is_counted);
         for lost in silent.into_iter().chain(lost) {
             self.count_crash(&lost, now);
         }
@@ -162,14 +183,14 @@
         let alone = lost.is_only_suspect(suspect);
         match verdict(crashes, alone) {
             Verdict::Suspected => {}
-            Verdict::TryAlone => {
-                tracing::info!(task = %key, run = suspect.run, worker = %lost.id, crashes, alone, "task is suspected of crashing workers");
-            }
-            Verdict::GiveUp => {
+            Verdict::GiveUp if !lost.is_counted => {
                 tracing::warn!(task = %key, run = suspect.run, worker = %lost.id, crashes, alone, "task crashes its workers and is given up");
                 let wall = self.wall_at(now);
                 self.end_job(&key.job, Phase::Failed, now, wall);
             }
+            Verdict::TryAlone | Verdict::GiveUp => {
+                tracing::info!(task = %key, run = suspect.run, worker = %lost.id, crashes, alone, "task is suspected of crashing workers");
+            }
         }
     }
 
--- a/src/scheduler/worker_events.rs
+++ b/src/scheduler/worker_events.rs
@@ -31,10 +31,10 @@
         if report.incarnation < worker.incarnation {
             return;
         }
-        self.crashes.forget_silent(id, report.incarnation);
         if report.incarnation > worker.incarnation {
             self.begin_incarnation(id, report.incarnation, now);
         }
+        self.note_returned(id, report.incarnation, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/tests/crash_cases.rs
+++ b/tests/crash_cases.rs
@@ -375,6 +375,35 @@
     }
 }
 
+/// Guards against crashes that a change of the leader hides: the entry of the crashed worker is gone
+/// when the successor reads the store, and it returns under another id. A worker that was cut off
+/// for as long answers again, and then the task is cleared.
+#[test]
+fn a_worker_that_is_gone_from_the_store_counts_until_it_answers() {
+    let mut first = leader(Millis(0));
+    let one = job("patient", vec![step(1, 1000, 1000)]);
+    register(&mut first, entry(1, 1, 8000, 8000), Millis(0));
+    submit(&mut first, "a", one.clone(), Millis(0));
+    first.plan(Millis(0));
+    let batch = first.next_batch().expect("a record waits");
+    let record = decode_record(&batch.writes[0].value);
+    let mut second = leader(Millis(1000));
+    second.add_job(
+        id("a"),
+        one,
+        Some((record, 3)),
+        Millis(1000),
+        Timestamp(1000),
+    );
+
+    second.tick(Millis(1000) + TAKEOVER_EXPIRY + Millis(400));
+    let while_gone = recorded_crashes(&mut second, Millis(14_000));
+    register(&mut second, entry(1, 1, 8000, 8000), Millis(15_000));
+    let once_back = recorded_crashes(&mut second, Millis(15_000));
+
+    assert_eq!((while_gone, once_back), (1, 0));
+}
+
 /// Guards against a crash that goes uncounted because a further worker has come to the address, and
 /// crashed too, before the leader reached it.
 #[test]
