Give a task up once a silent worker whose crash was counted is replaced

A worker that is gone from the store when its lease lapses is counted, but that alone gives nothing up, and its replacement was then passed over as counted already. A task whose workers stay away for longer than the lease was started for ever.

Change: the replacement proves the crash, so what follows from the count is decided then, without counting again.

--- a/src/scheduler/crash_tracker.rs
+++ b/src/scheduler/crash_tracker.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::crash::{LostRun, LostWorker, Verdict, verdict};
-use super::{Phase, Scheduler, TaskKey, WorkerEntry};
+use super::{Job, Phase, Scheduler, TaskKey, WorkerEntry};
 use crate::prelude::*;
 
 /// Time for which a silent worker and a crashed address are remembered; a crashed worker is back
@@ -141,20 +141,51 @@
         let replaced =
             self.crashes
                 .take_replaced(&entry.id, &entry.address, entry.incarnation, now);
-        for lost in replaced.iter().filter(|lost| !lost.is_counted) {
-            self.count_crash(lost, now);
+        for lost in &replaced {
+            self.count_silent(lost, now);
         }
     }
 
     /// Counts the crash of a worker at whose address another incarnation has answered.
     pub(super) fn count_dead(&mut self, id: &WorkerId, lost: Option<LostWorker>, now: Millis) {
-        let silent = self.crashes.silent.remove(id);
-        let silent = silent.filter(|lost| !lost.is_counted);
-        for lost in silent.into_iter().chain(lost) {
+        if let Some(silent) = self.crashes.silent.remove(id) {
+            self.count_silent(&silent, now);
+        }
+        if let Some(lost) = lost {
             self.count_crash(&lost, now);
         }
     }
 
+    /// Counts the crash of a silent worker that is known to be gone, unless it has been counted; in
+    /// that case only what follows from it is left to decide.
+    fn count_silent(&mut self, lost: &LostWorker, now: Millis) {
+        if !lost.is_counted {
+            self.count_crash(lost, now);
+            return;
+        }
+        for suspect in lost.suspects() {
+            let job = self.jobs.get_mut(&suspect.key.job);
+            let task = job.and_then(|job| job.task_mut(&suspect.key));
+            let crashes = task
+                .filter(|task| !task.done)
+                .map_or(0, |task| task.crashes);
+            if verdict(crashes, lost.is_only_suspect(suspect)) == Verdict::GiveUp {
+                self.give_up(lost, suspect, crashes, now);
+            }
+        }
+    }
+
+    /// Fails the job of a task that crashes its workers.
+    fn give_up(&mut self, lost: &LostWorker, suspect: &LostRun, crashes: u32, now: Millis) {
+        let key = &suspect.key;
+        if !self.jobs.get(&key.job).is_some_and(Job::is_active) {
+            return;
+        }
+        tracing::warn!(task = %key, run = suspect.run, worker = %lost.id, crashes, alone = lost.is_only_suspect(suspect), "task crashes its workers and is given up");
+        let wall = self.wall_at(now);
+        self.end_job(&key.job, Phase::Failed, now, wall);
+    }
+
     /// Counts the crash of a worker for the tasks that may have caused it.
     pub(super) fn count_crash(&mut self, lost: &LostWorker, now: Millis) {
         self.crashes.record_crash(&lost.address, now);
@@ -183,11 +214,7 @@
         let alone = lost.is_only_suspect(suspect);
         match verdict(crashes, alone) {
             Verdict::Suspected => {}
-            Verdict::GiveUp if !lost.is_counted => {
-                tracing::warn!(task = %key, run = suspect.run, worker = %lost.id, crashes, alone, "task crashes its workers and is given up");
-                let wall = self.wall_at(now);
-                self.end_job(&key.job, Phase::Failed, now, wall);
-            }
+            Verdict::GiveUp if !lost.is_counted => self.give_up(lost, suspect, crashes, now),
             Verdict::TryAlone | Verdict::GiveUp => {
                 tracing::info!(task = %key, run = suspect.run, worker = %lost.id, crashes, alone, "task is suspected of crashing workers");
             }
--- a/tests/crash_cases.rs
+++ b/tests/crash_cases.rs
@@ -43,6 +43,10 @@
     now: u64,
     workers: Vec<FleetWorker>,
     returns: Return,
+    /// Time for which a crashed worker is away.
+    away: u64,
+    /// A crashed worker is gone from the store at once.
+    removes_entries: bool,
     deadly_starts: Vec<StartCommand>,
 }
 
@@ -56,6 +60,8 @@
             now: 0,
             workers: Vec::new(),
             returns,
+            away: AWAY,
+            removes_entries: false,
             deadly_starts: Vec::new(),
         };
         for at in 0..workers {
@@ -188,7 +194,10 @@
             if start.task.job.to_string().starts_with("deadly") {
                 worker.runs.clear();
                 worker.ended.clear();
-                worker.back_at = Some(self.now + AWAY);
+                worker.back_at = Some(self.now + self.away);
+                if self.removes_entries {
+                    self.sched.remove_entry(&worker.entry.id);
+                }
                 self.deadly_starts.push(start);
             }
         }
@@ -586,3 +595,20 @@
         with
     );
 }
+
+/// Guards against a task that starts for ever because each of its workers is away for longer than
+/// its lease and gone from the store meanwhile.
+#[test]
+fn a_task_whose_workers_stay_away_for_long_is_given_up() {
+    let mut fleet = Fleet::new(6, Return::OtherId);
+    fleet.away = 8000;
+    fleet.removes_entries = true;
+    let one = job("patient", vec![step(1, 1000, 1000)]);
+
+    fleet.submit("deadly", one);
+    fleet.simulate(90_000);
+
+    assert_eq!(fleet.view("deadly"), Some(JobView::Failed));
+    let starts = fleet.deadly_starts.len();
+    assert!(starts <= MOST_STARTS + 1, "{starts} starts");
+}
