Start gangs without trials of their members

A crash hits several members of a gang, all of them reach two crashes together, and the trial of the first barred its worker for the others. With fewer eligible workers than suspected members the gang never started.

Measured: a_gang_with_several_suspected_members_starts failed before (no member started in 5 s on one worker) and passes now.

--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use super::crash::{TRIAL_PERIOD, needs_trial};
+use super::crash::TRIAL_PERIOD;
 use super::worker::RunState;
 use super::{Command, Phase, Scheduler, StartCommand, TaskKey};
 use crate::prelude::*;
@@ -207,7 +207,7 @@
         if !is_retry {
             run.started_at = now;
             run.progressed_at = now;
-            if needs_trial(run.crashes) {
+            if run.in_trial {
                 worker.trial_until = now + TRIAL_PERIOD;
             }
         }
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -182,7 +182,9 @@
                 advice: advice.as_ref(),
                 crashes,
             };
-            let trial = if needs_trial(crashes) {
+            // The members of a gang start together, so none of them can be tried alone.
+            let in_trial = needs_trial(crashes) && !step.gang;
+            let trial = if in_trial {
                 self.find_trial(&request, job.key(instance, index), now)
             } else {
                 Trial::Anywhere
@@ -221,6 +223,7 @@
                 version: job.version + 1,
             };
             run.crashes = crashes;
+            run.in_trial = in_trial;
             found.add_run(key.clone(), run);
             self.refresh_margin(&worker);
             if step.max_per_worker.is_some() {
--- a/src/scheduler/search_budget.rs
+++ b/src/scheduler/search_budget.rs
@@ -1,4 +1,4 @@
-//! Bound on the searches of a planning round, without favour for the jobs at the front.
+//! Bound on the searches of a planning round that lets the jobs at the back have a turn.
 
 use super::order::Rank;
 use crate::prelude::*;
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::advice::{Advice, StepKey};
+use super::crash::needs_trial;
 use super::crash_tracker::CrashTracker;
 use super::interference::Interference;
 use super::record_queue::RecordQueue;
@@ -145,6 +146,7 @@
                 placed_run.state = RunState::Running;
                 placed_run.settled_at = Some(Millis::ZERO);
                 placed_run.crashes = crashes;
+                placed_run.in_trial = needs_trial(crashes) && !job.step(instance).gang;
                 let worker = self.worker(&place.worker, place.incarnation);
                 worker.add_run(key, placed_run);
             }
--- a/src/scheduler/trial.rs
+++ b/src/scheduler/trial.rs
@@ -71,7 +71,7 @@
 }
 
 impl Worker {
-    /// Returns whether a trial is in progress, which other new runs would blur.
+    /// Returns whether a trial is in progress; with other new runs, a crash would not show its cause.
     pub(super) fn has_trial(&self, now: Millis) -> bool {
         now < self.trial_until
     }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use super::crash::{TRIAL_PERIOD, needs_trial};
+use super::crash::TRIAL_PERIOD;
 use super::slack::SlackEstimate;
 use super::worker_health::WorkerHealth;
 use super::{Placement, TaskKey};
@@ -81,6 +81,8 @@
     pub slack: SlackEstimate,
     /// Crashes under the task at the assignment of the run.
     pub crashes: u32,
+    /// The task is tried alone: its worker takes no other new runs for a while.
+    pub in_trial: bool,
     /// Left over from the incarnation before, whose end has been counted.
     pub left_over: bool,
 }
@@ -119,6 +121,7 @@
             pace_changed_at: Millis::ZERO,
             slack: SlackEstimate::default(),
             crashes: 0,
+            in_trial: false,
             left_over: false,
         }
     }
@@ -194,7 +197,7 @@
             self.serving_runs += 1;
         }
         self.suspects += u32::from(run.crashes > 0);
-        if needs_trial(run.crashes) {
+        if run.in_trial {
             self.trial_until = run.started_at + TRIAL_PERIOD;
         }
         self.expected_cpu += run.expected_cpu();
@@ -212,7 +215,7 @@
             self.serving_runs = self.serving_runs.saturating_sub(1);
         }
         self.suspects = self.suspects.saturating_sub(u32::from(run.crashes > 0));
-        if needs_trial(run.crashes) {
+        if run.in_trial {
             self.trial_until = Millis::ZERO;
         }
         self.expected_cpu = self.expected_cpu.saturating_sub(run.expected_cpu());
