Limit trials to a quarter of the workers of a service

After crashes of many workers, hundreds of tasks need a trial, each of which keeps a worker free of other new runs for 3 s, so that the service hardly takes new work.

Measured: trials_leave_most_workers_to_other_tasks failed before (no other task started on 8 workers) and passes now.

--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -183,7 +183,8 @@
                 crashes,
             };
             // The members of a gang start together, so none of them can be tried alone.
-            let in_trial = needs_trial(crashes) && !step.gang;
+            let in_trial =
+                needs_trial(crashes) && !step.gang && self.may_begin_trial(&queue.service, now);
             let trial = if in_trial {
                 self.find_trial(&request, job.key(instance, index), now)
             } else {
--- a/src/scheduler/trial.rs
+++ b/src/scheduler/trial.rs
@@ -16,6 +16,10 @@
 /// that of 60 s of work of one processor.
 const LONG_RUNNING_WASTE: u64 = 60_000_000;
 
+/// Number of workers of a service for each trial in progress. After crashes of many workers, trials
+/// of all tasks that ran there would keep the service from taking other work.
+const WORKERS_PER_TRIAL: usize = 4;
+
 /// Tasks that wait for a worker on which they can be tried alone, and since when.
 pub(super) type TrialQueue = HashMap<TaskKey, Millis>;
 
@@ -31,6 +35,17 @@
 }
 
 impl Scheduler {
+    /// Returns whether one more worker of a service can be kept free of other new runs.
+    pub(super) fn may_begin_trial(&self, service: &str, now: Millis) -> bool {
+        let workers = || {
+            self.workers
+                .values()
+                .filter(|worker| worker.belongs_to(service))
+        };
+        let trials = workers().filter(|worker| worker.has_trial(now)).count();
+        trials == 0 || trials * WORKERS_PER_TRIAL < workers().count()
+    }
+
     /// Finds a place for a task that is tried alone; it does not wait for one for long.
     pub(super) fn find_trial(
         &mut self,
--- a/tests/crash_cases.rs
+++ b/tests/crash_cases.rs
@@ -648,3 +648,22 @@
 
     assert_eq!(started, 3);
 }
+
+/// Guards against a service that takes no new work because each of its workers has a trial.
+#[test]
+fn trials_leave_most_workers_to_other_tasks() {
+    let mut sched = leader(Millis(0));
+    for at in 0..8 {
+        register(&mut sched, entry(at, 1, 8000, 8000), Millis(0));
+    }
+    submit_suspects(&mut sched, "a", step(8, 500, 500));
+    plan_and_commit(&mut sched, 2, Millis(0));
+
+    let mut spread = step(8, 500, 500);
+    spread.max_per_worker = Some(1);
+    submit(&mut sched, "b", job("urgent", vec![spread]), Millis(100));
+    let started = starts(&plan_and_commit(&mut sched, 3, Millis(100)));
+
+    let others = started.iter().filter(|start| start.task.job == id("b"));
+    assert!(others.count() >= 6, "{} starts in all", started.len());
+}
