Judge neighbours of a trial by the age of their report

A trial begins beside runs that are 3 s old, but a crash counted only runs as settled that were 3 s old as of the last report, up to a second before. The crash of a trial then seemed to have several suspects, and the task was started once more.

Change: a neighbour without earlier crashes is settled 2 s after its start as of the last report.

--- a/src/scheduler/crash.rs
+++ b/src/scheduler/crash.rs
@@ -11,6 +11,11 @@
 /// Length of a trial: a suspected task that crashes its worker does so within this time.
 pub(super) const TRIAL_PERIOD: Millis = Millis(3000);
 
+/// Time on a worker, as of its last report, after which a run without earlier crashes is not
+/// suspected beside a trial. A trial begins beside runs of `TRIAL_PERIOD`, and a report may be a
+/// second old.
+const SETTLED_AFTER: Millis = Millis(2000);
+
 /// Crashes in a row from which a task is tried apart from other new and suspected runs.
 const CRASHES_TO_TRY_ALONE: u32 = 2;
 
@@ -88,7 +93,7 @@
 
     /// Returns whether the run was neither new on its worker nor suspected.
     fn is_settled(&self) -> bool {
-        self.crashes == 0 && self.survived >= TRIAL_PERIOD
+        self.crashes == 0 && self.survived >= SETTLED_AFTER
     }
 }
 
