--- a/tests/crash_cases.rs
+++ b/tests/crash_cases.rs
@@ -33,7 +33,7 @@
     back_at: Option<u64>,
 }
 
-/// Workers and a store around one leader; tasks of jobs whose ids begin with `deadly` crash their
+/// Workers and a store around one leader; tasks of jobs whose ids begin with `crashing` crash their
 /// workers, all others take a second.
 struct Fleet {
     sched: Scheduler,
@@ -47,7 +47,7 @@
     away: u64,
     /// A crashed worker is gone from the store at once.
     removes_entries: bool,
-    deadly_starts: Vec<StartCommand>,
+    crashing_starts: Vec<StartCommand>,
 }
 
 impl Fleet {
@@ -62,7 +62,7 @@
             returns,
             away: AWAY,
             removes_entries: false,
-            deadly_starts: Vec::new(),
+            crashing_starts: Vec::new(),
         };
         for at in 0..workers {
             let entry = entry(at, 1, 4000, 64_000);
@@ -191,14 +191,14 @@
                 .runs
                 .insert(start.task.clone(), (start.run, self.now + 1000));
             respond(&mut self.sched, &start, StartResponse::Started, now);
-            if start.task.job.to_string().starts_with("deadly") {
+            if start.task.job.to_string().starts_with("crashing") {
                 worker.runs.clear();
                 worker.ended.clear();
                 worker.back_at = Some(self.now + self.away);
                 if self.removes_entries {
                     self.sched.remove_entry(&worker.entry.id);
                 }
-                self.deadly_starts.push(start);
+                self.crashing_starts.push(start);
             }
         }
     }
@@ -241,13 +241,13 @@
 fn a_task_that_crashes_every_worker_is_given_up() {
     for returns in [Return::SameId, Return::OtherId] {
         let mut fleet = Fleet::new(6, returns);
-        fleet.submit("deadly", job("patient", vec![step(1, 1000, 1000)]));
+        fleet.submit("crashing", job("patient", vec![step(1, 1000, 1000)]));
 
         fleet.simulate(60_000);
 
-        let starts = fleet.deadly_starts.len();
+        let starts = fleet.crashing_starts.len();
         assert!((3..=MOST_STARTS).contains(&starts), "{starts} starts");
-        assert_eq!(fleet.view("deadly"), Some(JobView::Failed));
+        assert_eq!(fleet.view("crashing"), Some(JobView::Failed));
     }
 }
 
@@ -258,13 +258,13 @@
     let mut fleet = Fleet::new(6, Return::OtherId);
     let mut one = step(1, 1000, 1000);
     one.long_running = true;
-    fleet.submit("deadly", job("urgent", vec![one]));
+    fleet.submit("crashing", job("urgent", vec![one]));
 
     fleet.simulate(60_000);
 
-    let starts = fleet.deadly_starts.len();
+    let starts = fleet.crashing_starts.len();
     assert!((3..=MOST_STARTS).contains(&starts), "{starts} starts");
-    assert_eq!(fleet.view("deadly"), Some(JobView::Failed));
+    assert_eq!(fleet.view("crashing"), Some(JobView::Failed));
 }
 
 /// Guards against a count that is lost with the leader: each crash is followed by a new leader,
@@ -272,21 +272,21 @@
 #[test]
 fn crashes_count_across_changes_of_the_leader() {
     let mut fleet = Fleet::new(6, Return::SameId);
-    fleet.submit("deadly", job("patient", vec![step(1, 1000, 1000)]));
+    fleet.submit("crashing", job("patient", vec![step(1, 1000, 1000)]));
     let mut crashes = 0;
 
     while fleet.now < 90_000 {
         fleet.simulate(fleet.now + 100);
-        if fleet.deadly_starts.len() > crashes {
-            crashes = fleet.deadly_starts.len();
+        if fleet.crashing_starts.len() > crashes {
+            crashes = fleet.crashing_starts.len();
             fleet.simulate(fleet.now + 1000);
             fleet.change_leader();
         }
     }
 
-    let starts = fleet.deadly_starts.len();
+    let starts = fleet.crashing_starts.len();
     assert!((3..=MOST_STARTS).contains(&starts), "{starts} starts");
-    assert_eq!(fleet.view("deadly"), Some(JobView::Failed));
+    assert_eq!(fleet.view("crashing"), Some(JobView::Failed));
 }
 
 /// Guards against jobs that fail because their tasks ran beside one that crashes workers.
@@ -299,7 +299,7 @@
     }
     for at in 0..3 {
         let spec = job("patient", vec![step(1, 500, 500)]);
-        fleet.submit(&format!("deadly{at}"), spec);
+        fleet.submit(&format!("crashing{at}"), spec);
     }
 
     fleet.simulate(120_000);
@@ -308,9 +308,9 @@
         assert_eq!(fleet.view(&format!("n{at}")), Some(JobView::Completed));
     }
     for at in 0..3 {
-        assert_eq!(fleet.view(&format!("deadly{at}")), Some(JobView::Failed));
+        assert_eq!(fleet.view(&format!("crashing{at}")), Some(JobView::Failed));
     }
-    let starts = fleet.deadly_starts.len();
+    let starts = fleet.crashing_starts.len();
     assert!(starts <= 3 * MOST_STARTS, "{starts} starts");
 }
 
@@ -605,11 +605,11 @@
     fleet.removes_entries = true;
     let one = job("patient", vec![step(1, 1000, 1000)]);
 
-    fleet.submit("deadly", one);
+    fleet.submit("crashing", one);
     fleet.simulate(90_000);
 
-    assert_eq!(fleet.view("deadly"), Some(JobView::Failed));
-    let starts = fleet.deadly_starts.len();
+    assert_eq!(fleet.view("crashing"), Some(JobView::Failed));
+    let starts = fleet.crashing_starts.len();
     assert!(starts <= MOST_STARTS + 1, "{starts} starts");
 }
 
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use platform_support::{CAPACITY, Site, call, config, deadly_job, eventually, one_step_job};
+use platform_support::{CAPACITY, Site, call, config, crashing_job, eventually, one_step_job};
 use serde_json::json;
 
 /// Fails unless the job has this many tasks and each was started exactly once.
@@ -198,9 +198,9 @@
 /// given up because they ran on the same workers.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_task_that_crashes_its_workers_is_given_up() {
-    let site = Site::start("deadly", 3, 2).await;
+    let site = Site::start("crashing", 3, 2).await;
 
-    let deadly = site.submit(0, "00000000000000a9", &deadly_job()).await;
+    let crashing = site.submit(0, "00000000000000a9", &crashing_job()).await;
     let other = site
         .submit(1, "00000000000000aa", &one_step_job(30, 400))
         .await;
@@ -208,7 +208,7 @@
         .await;
     site.wait_for_state(1, "00000000000000a9", "failed").await;
 
-    assert_eq!((deadly, other), (200, 200));
+    assert_eq!((crashing, other), (200, 200));
     assert_eq!(site.observed.lock().violations, Vec::<String>::new());
 }
 
--- a/tests/platform_support/crashes.rs
+++ b/tests/platform_support/crashes.rs
@@ -15,14 +15,14 @@
     later_starts: usize,
 }
 
-/// Crashes under each deadly task of a site.
+/// Crashes under each crashing task of a site.
 #[derive(Default)]
 pub struct CrashLog {
     tasks: BTreeMap<String, TaskCrashes>,
 }
 
 impl CrashLog {
-    /// Records that a worker has crashed under a deadly task.
+    /// Records that a worker has crashed under a crashing task.
     pub fn record_crash(&mut self, task: &str) {
         self.tasks.entry(task.to_string()).or_default().crashes += 1;
     }
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -33,7 +33,7 @@
 pub use client::Client;
 pub use proxy::FaultProxy;
 pub use store::StoreStandin;
-pub use workers::{DEADLY, Observations, WorkerStandin};
+pub use workers::{CRASHING, Observations, WorkerStandin};
 
 /// Response of a stand-in; `None` leaves the caller without a response.
 pub type JsonResponse = Option<(StatusCode, Value)>;
@@ -364,8 +364,8 @@
 }
 
 /// Returns a job of one task that crashes every worker that starts it.
-pub fn deadly_job() -> Value {
-    json!({"spec": DEADLY, "steps": [
+pub fn crashing_job() -> Value {
+    json!({"spec": CRASHING, "steps": [
         {"count": 1, "cpu": 1000, "memMb": 1000, "estimateMs": 400},
     ]})
 }
--- a/tests/platform_support/workers.rs
+++ b/tests/platform_support/workers.rs
@@ -24,9 +24,9 @@
 const EXPIRY_DELAY_MS: u64 = 120;
 
 /// Spec of a task that crashes every worker that starts it.
-pub const DEADLY: &str = "deadly";
+pub const CRASHING: &str = "crashing";
 
-/// Time from the start of a deadly task to the crash.
+/// Time from the start of a task that crashes its worker to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(150);
 
 /// Time from a crash to the worker's next incarnation.
@@ -34,7 +34,7 @@
 
 struct Run {
     number: u64,
-    deadly: bool,
+    crashing: bool,
     started_at: Instant,
     work: Duration,
     cpu: u64,
@@ -190,15 +190,15 @@
     fn crash(&mut self) {
         self.crashed = true;
         let mut observed = self.observed.lock();
-        for (task, _) in self.runs.iter().filter(|(_, run)| run.deadly) {
+        for (task, _) in self.runs.iter().filter(|(_, run)| run.crashing) {
             observed.crashes.record_crash(task);
         }
         self.runs.clear();
     }
 
-    /// Returns whether this run of a deadly task is at work.
-    fn runs_deadly(&self, task: &str) -> bool {
-        self.runs.get(task).is_some_and(|run| run.deadly)
+    /// Returns whether this run of a task that crashes its worker is at work.
+    fn runs_crashing(&self, task: &str) -> bool {
+        self.runs.get(task).is_some_and(|run| run.crashing)
     }
 
     fn advance(&mut self) {
@@ -268,7 +268,7 @@
         let started_at = Instant::now();
         let new_run = Run {
             number: run,
-            deadly: spec.contains(DEADLY),
+            crashing: spec.contains(CRASHING),
             started_at,
             work,
             cpu,
@@ -344,13 +344,13 @@
     }
 }
 
-/// Crashes the worker shortly after the start of a deadly task, and restarts it later.
+/// Crashes the worker shortly after the start of a crashing task, and restarts it later.
 async fn crash_and_restart(shared: Arc<Mutex<State>>, task: String) {
     let incarnation = shared.lock().incarnation;
     tokio::time::sleep(CRASH_DELAY).await;
     {
         let mut state = shared.lock();
-        if state.incarnation != incarnation || !state.runs_deadly(&task) {
+        if state.incarnation != incarnation || !state.runs_crashing(&task) {
             return;
         }
         state.crash();
@@ -381,7 +381,7 @@
                 let response = state.start(body);
                 let has_started = state.starts.len() > started;
                 let task = body["task"].as_str().unwrap_or_default();
-                if has_started && state.runs_deadly(task) {
+                if has_started && state.runs_crashing(task) {
                     tokio::spawn(crash_and_restart(shared.clone(), task.to_string()));
                 }
                 let observed = state.observed.clone();
--- a/tests/scheduler_support/sim.rs
+++ b/tests/scheduler_support/sim.rs
@@ -79,9 +79,9 @@
     done: BTreeSet<TaskKey>,
     acknowledged_failures: HashMap<TaskKey, u32>,
     /// Decides which jobs crash their workers, apart from all other choices.
-    deadly_rng: ChaCha8Rng,
+    crashing_rng: ChaCha8Rng,
     /// Jobs whose first task crashes each worker that starts it.
-    deadly: BTreeSet<JobId>,
+    crashing: BTreeSet<JobId>,
     /// Number of workers that each task has crashed.
     crashes: HashMap<TaskKey, u32>,
     /// Workers in a row that crashed, for whatever reason, while they had each task or might have
@@ -112,8 +112,8 @@
             acknowledged_done: BTreeSet::new(),
             done: BTreeSet::new(),
             acknowledged_failures: HashMap::new(),
-            deadly_rng: ChaCha8Rng::seed_from_u64(seed ^ 0xdead),
-            deadly: BTreeSet::new(),
+            crashing_rng: ChaCha8Rng::seed_from_u64(seed ^ 0xdead),
+            crashing: BTreeSet::new(),
             crashes: HashMap::new(),
             crashes_in_a_row: HashMap::new(),
             most_crashes_in_a_row: HashMap::new(),
@@ -165,7 +165,7 @@
             let most = queues().queues[&self.specs[id].queue].max_attempts;
             let mut failures = self.failures.iter();
             let mut crashes = self.most_crashes_in_a_row.iter();
-            self.deadly.contains(id)
+            self.crashing.contains(id)
                 || failures.any(|(key, failures)| key.job == *id && *failures >= most)
                 || crashes.any(|(key, crashes)| key.job == *id && *crashes >= CRASHES_TO_FAIL)
         };
@@ -249,8 +249,8 @@
         let name = format!("j{}", self.specs.len());
         let spec = job(queue, steps);
         self.specs.insert(id(&name), spec.clone());
-        if self.deadly_rng.random_bool(0.04) {
-            self.deadly.insert(id(&name));
+        if self.crashing_rng.random_bool(0.04) {
+            self.crashing.insert(id(&name));
         }
         let now = self.now;
         for term in &mut self.terms {
@@ -610,7 +610,7 @@
             .insert(key.clone(), (run, now + duration, outcome));
         self.starts += 1;
         self.check_start(at, &key, &spec, late);
-        if self.deadly.contains(&key.job) && key.step == 0 && key.index == 0 {
+        if self.crashing.contains(&key.job) && key.step == 0 && key.index == 0 {
             self.crash(at, &key);
         }
         StartResponse::Started
--- a/tests/soak_support/faults.rs
+++ b/tests/soak_support/faults.rs
@@ -6,16 +6,16 @@
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 
-use crate::platform_support::{CAPACITY, Site, call, deadly_job};
+use crate::platform_support::{CAPACITY, Site, call, crashing_job};
 
 /// Distinguishes the randomness of the workers' faults from that of the others.
 const WORKER_SEED: u64 = 1 << 63;
 
 /// Maximum number of jobs that crash workers in one run, for the run has few workers.
-const MAX_DEADLY_JOBS: usize = 2;
+const MAX_CRASHING_JOBS: usize = 2;
 
 /// Number in the id of the first of these jobs; no other job has it.
-const FIRST_DEADLY_ID: u64 = 0xdead_0000;
+const FIRST_CRASHING_ID: u64 = 0xdead_0000;
 
 /// A random sequence of overlapping faults, derived from a seed.
 pub struct Faults {
@@ -23,7 +23,7 @@
     /// Randomness of the workers' faults; apart, so that they do not change the other faults of a
     /// seed.
     worker_rng: ChaCha8Rng,
-    deadly_jobs: Vec<String>,
+    crashing_jobs: Vec<String>,
     history: Vec<String>,
     suspended: Vec<usize>,
 }
@@ -33,7 +33,7 @@
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             worker_rng: ChaCha8Rng::seed_from_u64(seed ^ WORKER_SEED),
-            deadly_jobs: Vec::new(),
+            crashing_jobs: Vec::new(),
             history: Vec::new(),
             suspended: Vec::new(),
         }
@@ -103,8 +103,8 @@
             0 => percent,
             1 => 0,
             2 => 100,
-            3 if self.deadly_jobs.len() < MAX_DEADLY_JOBS => {
-                self.submit_deadly_job(site);
+            3 if self.crashing_jobs.len() < MAX_CRASHING_JOBS => {
+                self.submit_crashing_job(site);
                 return;
             }
             _ => return,
@@ -115,24 +115,27 @@
         site.workers[worker].set_capacity(cpu * percent / 100, memory * percent / 100);
     }
 
-    fn submit_deadly_job(&mut self, site: &Site) {
-        let id = format!("{:016x}", FIRST_DEADLY_ID + self.deadly_jobs.len() as u64);
+    fn submit_crashing_job(&mut self, site: &Site) {
+        let id = format!(
+            "{:016x}",
+            FIRST_CRASHING_ID + self.crashing_jobs.len() as u64
+        );
         let daemon = self.worker_rng.random_range(0..site.daemons.len());
         self.history
-            .push(format!("job {id} of a deadly task at daemon {daemon}"));
+            .push(format!("job {id} of a crashing task at daemon {daemon}"));
         let frontend = site.daemons[daemon].frontend;
         let path = format!("/queue/{id}");
-        self.deadly_jobs.push(id);
+        self.crashing_jobs.push(id);
         // A suspended daemon must not delay the next fault. Whether the job is accepted is not
         // known; what its tasks do is checked where they start.
         tokio::spawn(async move {
-            call(frontend, "POST", &path, &deadly_job().to_string()).await;
+            call(frontend, "POST", &path, &crashing_job().to_string()).await;
         });
     }
 
     /// Returns the ids of the submitted jobs that crash workers.
-    pub fn deadly_jobs(&self) -> &[String] {
-        &self.deadly_jobs
+    pub fn crashing_jobs(&self) -> &[String] {
+        &self.crashing_jobs
     }
 
     /// Ends all faults and restarts daemons that have exited.
--- a/tests/soak_support/mod.rs
+++ b/tests/soak_support/mod.rs
@@ -71,7 +71,7 @@
         site.starts().len()
     );
     violations.extend(check_outcomes(&site, &jobs).await);
-    violations.extend(check_deadly_jobs(&site, faults.deadly_jobs()).await);
+    violations.extend(check_crashing_jobs(&site, faults.crashing_jobs()).await);
     violations.extend(site.observed.lock().violations.clone());
     if !violations.is_empty() {
         faults.print();
@@ -82,7 +82,7 @@
 
 /// Checks that jobs whose task crashes workers have failed by the end, unless nobody knows them.
 /// The workers' observations limit the starts.
-async fn check_deadly_jobs(site: &Site, jobs: &[String]) -> Vec<String> {
+async fn check_crashing_jobs(site: &Site, jobs: &[String]) -> Vec<String> {
     let until = Instant::now() + SETTLE;
     let mut violations = Vec::new();
     for id in jobs {
@@ -92,7 +92,7 @@
                 break;
             }
             if Instant::now() >= until {
-                violations.push(format!("deadly job {id} is {state} at the end"));
+                violations.push(format!("crashing job {id} is {state} at the end"));
                 break;
             }
             tokio::time::sleep(Duration::from_millis(100)).await;
