Split the placing of a task and the counting of attempts

No change of behaviour: the loop over the tasks of a step no longer spells out how runs are created and tasks are counted, and apply_to_job leaves attempts to count_failure. The tests of the scheduler pass.

--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -10,7 +10,7 @@
 use super::state::new_run;
 use super::trial::Trial;
 use super::worker::RunState;
-use super::{Job, Queue, Scheduler, TaskKey};
+use super::{Job, Queue, Scheduler, TaskKey, Worker};
 use crate::prelude::*;
 
 /// Maximum number of tasks assigned in one round, so that a round stays short on a small machine.
@@ -147,16 +147,10 @@
         if open.is_empty() {
             return 0;
         }
-        let mut tasks_per_worker: HashMap<WorkerId, u32> = HashMap::new();
-        if step.max_per_worker.is_some() {
-            for place in job.instances[instance]
-                .tasks
-                .iter()
-                .flat_map(|task| &task.place)
-            {
-                *tasks_per_worker.entry(place.worker.clone()).or_default() += 1;
-            }
-        }
+        let mut tasks_per_worker = match step.max_per_worker {
+            Some(_) => count_tasks_per_worker(job, instance),
+            None => HashMap::new(),
+        };
         let gang_run = job.instances[instance]
             .tasks
             .iter()
@@ -185,20 +179,17 @@
             // The members of a gang start together, so none of them can be tried alone.
             let in_trial =
                 needs_trial(crashes) && !step.gang && self.may_begin_trial(&queue.service, now);
+            let key = job.key(instance, index);
             let trial = if in_trial {
-                self.find_trial(&request, job.key(instance, index), now)
+                self.find_trial(&request, key.clone(), now)
             } else {
                 Trial::Anywhere
             };
-            if trial == Trial::Wait {
-                continue;
-            }
-            let found = if let Trial::On(worker) = trial {
-                Some(worker)
-            } else if round.is_known_to_fail(&request) {
-                None
-            } else {
-                self.search(&request, round, now)
+            let found = match trial {
+                Trial::On(worker) => Some(worker),
+                Trial::Wait => continue,
+                Trial::Anywhere if round.is_known_to_fail(&request) => None,
+                Trial::Anywhere => self.search(&request, round, now),
             };
             let Some(worker) = found else {
                 if step.best_effort || !self.preempt(&request, queue.priority, turn, round, now) {
@@ -206,26 +197,24 @@
                 }
                 continue;
             };
-            let key = job.key(instance, index);
             self.trials.remove(&key);
-            let Some(found) = self.workers.get_mut(&worker) else {
+            let Some(place) = self.workers.get(&worker).map(Worker::placement) else {
                 break;
             };
-            let place = found.placement();
             let task = &mut job.instances[instance].tasks[index];
+            task.place = Some(place);
             task.run = match gang_run {
                 Some(run) if step.gang => run + 1,
                 _ => task.run + 1,
             };
-            task.place = Some(place);
-            let number = task.run;
-            let mut run = new_run(job, instance, number, queue.priority, now);
+            let mut run = new_run(job, instance, index, queue.priority, now);
             run.state = RunState::Planned {
                 version: job.version + 1,
             };
-            run.crashes = crashes;
             run.in_trial = in_trial;
-            found.add_run(key.clone(), run);
+            if let Some(found) = self.workers.get_mut(&worker) {
+                found.add_run(key.clone(), run);
+            }
             self.refresh_margin(&worker);
             if step.max_per_worker.is_some() {
                 *tasks_per_worker.entry(worker.clone()).or_default() += 1;
@@ -282,6 +271,16 @@
     }
 }
 
+/// Counts the placed tasks of a step on each worker.
+fn count_tasks_per_worker(job: &Job, instance: usize) -> HashMap<WorkerId, u32> {
+    let mut counts: HashMap<WorkerId, u32> = HashMap::new();
+    let tasks = job.instances[instance].tasks.iter();
+    for place in tasks.flat_map(|task| &task.place) {
+        *counts.entry(place.worker.clone()).or_default() += 1;
+    }
+    counts
+}
+
 /// Returns the tasks of a step that are to be placed when it is the turn of its job.
 fn tasks_to_place(job: &Job, instance: usize, turn: &Turn, round: &Round) -> Vec<usize> {
     let gang = job.step(instance).gang;
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -137,18 +137,16 @@
         for instance in 0..job.instances.len() {
             for index in 0..job.instances[instance].tasks.len() {
                 let task = &job.instances[instance].tasks[index];
-                let (Some(place), run) = (task.place.clone(), task.run) else {
+                let Some(place) = task.place.clone() else {
                     continue;
                 };
-                let crashes = task.crashes;
+                let mut run = new_run(&job, instance, index, priority, now);
+                run.state = RunState::Running;
+                run.settled_at = Some(Millis::ZERO);
+                run.in_trial = needs_trial(run.crashes) && !job.step(instance).gang;
                 let key = job.key(instance, index);
-                let mut placed_run = new_run(&job, instance, run, priority, now);
-                placed_run.state = RunState::Running;
-                placed_run.settled_at = Some(Millis::ZERO);
-                placed_run.crashes = crashes;
-                placed_run.in_trial = needs_trial(crashes) && !job.step(instance).gang;
                 let worker = self.worker(&place.worker, place.incarnation);
-                worker.add_run(key, placed_run);
+                worker.add_run(key, run);
             }
         }
         if job.is_active() {
@@ -330,15 +328,18 @@
     }
 }
 
-pub(super) fn new_run(job: &Job, instance: usize, number: u32, priority: u32, now: Millis) -> Run {
+/// Creates the run of a task from its record.
+pub(super) fn new_run(job: &Job, instance: usize, index: usize, priority: u32, now: Millis) -> Run {
     let step = job.step(instance);
+    let task = &job.instances[instance].tasks[index];
     Run {
+        crashes: task.crashes,
         best_effort: step.best_effort,
         long_running: step.long_running,
         priority,
         saves_checkpoints: step.checkpoints,
         image: step.image.clone(),
         target: step.tail_target,
-        ..Run::new(number, step.reservation(), step.need.cpu, now)
+        ..Run::new(task.run, step.reservation(), step.need.cpu, now)
     }
 }
--- a/src/scheduler/worker_events.rs
+++ b/src/scheduler/worker_events.rs
@@ -166,19 +166,7 @@
                 }
             }
             RunOutcome::Failed if current && !step.long_running => {
-                let most = self
-                    .queues
-                    .queues
-                    .get(&job.spec.queue)
-                    .map_or(u32::MAX, |queue| queue.max_attempts);
-                let failures = job.task_mut(key).map_or(0, |task| {
-                    task.failures += 1;
-                    task.failures
-                });
-                tracing::info!(task = %key, run = end.run, worker = %placement.worker, failures, most, "run failed");
-                if failures >= most {
-                    self.end_job(&key.job, Phase::Failed, now, wall);
-                }
+                self.count_failure(placement, end, now, wall);
             }
             _ if step.long_running => {
                 tracing::info!(task = %key, run = end.run, worker = %placement.worker, outcome = ?end.outcome, "long-running run ended");
@@ -188,6 +176,30 @@
         self.jobs.get(&key.job).map_or(0, |job| job.version)
     }
 
+    /// Counts an attempt of a task, and fails the job with its last one.
+    fn count_failure(
+        &mut self,
+        placement: &Placement,
+        end: &RunCompletion,
+        now: Millis,
+        wall: Timestamp,
+    ) {
+        let key = &end.task;
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let queue = self.queues.queues.get(&job.spec.queue);
+        let most = queue.map_or(u32::MAX, |queue| queue.max_attempts);
+        let failures = job.task_mut(key).map_or(0, |task| {
+            task.failures += 1;
+            task.failures
+        });
+        tracing::info!(task = %key, run = end.run, worker = %placement.worker, failures, most, "run failed");
+        if failures >= most {
+            self.end_job(&key.job, Phase::Failed, now, wall);
+        }
+    }
+
     fn apply_run_status(&mut self, id: &WorkerId, status: &RunStatus, now: Millis) {
         let known = self.jobs.get_mut(&status.task.job);
         let mut crashes = 0;
