Restore the run numbers of a gang that could not be placed

A round that places only a part of a gang takes the runs back but left their numbers raised, so a long-running gang that had never run counted as one that returns, and went before all urgent jobs.

Change: the members get the numbers of their former runs back.

Measured: a_gang_that_never_ran_does_not_return_before_urgent_jobs failed before and passes now.

--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -24,6 +24,15 @@
 /// as lost only below half of it.
 const SPARE_PERMILLE: u64 = 700;
 
+/// A task that has been placed in this round.
+struct PlacedMember {
+    worker: WorkerId,
+    key: TaskKey,
+    index: usize,
+    /// Number of the run before.
+    former_run: u32,
+}
+
 impl Scheduler {
     /// Assigns ready tasks to workers and returns their number; the starts follow once the records
     /// are durable.
@@ -202,6 +211,7 @@
                 break;
             };
             let task = &mut job.instances[instance].tasks[index];
+            let former_run = task.run;
             task.place = Some(place);
             task.run = match gang_run {
                 Some(run) if step.gang => run + 1,
@@ -219,7 +229,12 @@
             if step.max_per_worker.is_some() {
                 *tasks_per_worker.entry(worker.clone()).or_default() += 1;
             }
-            placed.push((worker, key, index));
+            placed.push(PlacedMember {
+                worker,
+                key,
+                index,
+                former_run,
+            });
         }
         if queue.advice.is_some() && job.instances[instance].has_open_tasks() {
             self.request_advice(job, instance, &queue.service, now);
@@ -236,18 +251,15 @@
     }
 
     /// Takes the planned runs of an incomplete gang back.
-    fn withdraw(
-        &mut self,
-        job: &mut Job,
-        instance: usize,
-        placed: Vec<(WorkerId, TaskKey, usize)>,
-    ) {
-        for (worker, key, index) in placed {
-            if let Some(found) = self.workers.get_mut(&worker) {
-                found.remove_run(&key);
+    fn withdraw(&mut self, job: &mut Job, instance: usize, placed: Vec<PlacedMember>) {
+        for member in placed {
+            if let Some(found) = self.workers.get_mut(&member.worker) {
+                found.remove_run(&member.key);
             }
-            self.refresh_margin(&worker);
-            job.instances[instance].tasks[index].place = None;
+            self.refresh_margin(&member.worker);
+            let task = &mut job.instances[instance].tasks[member.index];
+            task.place = None;
+            task.run = member.former_run;
         }
     }
 
--- a/tests/scheduler_fairness.rs
+++ b/tests/scheduler_fairness.rs
@@ -358,3 +358,36 @@
     }
     deliver_report(sched, &worker_id(1), 1, now, report);
 }
+
+/// Guards against a gang that goes before urgent jobs as if it had run, because a round that could
+/// not place all of its members left their run numbers raised.
+#[test]
+fn a_gang_that_never_ran_does_not_return_before_urgent_jobs() {
+    let mut sched = leader(Millis(0));
+    // Most of the CPU is reserved, so that no job counts as overdue.
+    register(&mut sched, entry(3, 1, 10_000, 8000), Millis(0));
+    let full = job("urgent", vec![step(1, 10_000, 100)]);
+    submit(&mut sched, "full", full, Millis(0));
+    plan_and_commit(&mut sched, 1, Millis(0));
+    register(&mut sched, entry(1, 1, 1000, 8000), Millis(0));
+    let mut gang = step(2, 600, 100);
+    gang.gang = true;
+    gang.long_running = true;
+    submit(&mut sched, "gang", job("patient", vec![gang]), Millis(0));
+    sched.tick(Millis(0));
+    plan_and_commit(&mut sched, 1, Millis(0));
+    sched.tick(Millis(100));
+    plan_and_commit(&mut sched, 1, Millis(100));
+
+    register(&mut sched, entry(2, 1, 1000, 8000), Millis(4000));
+    submit(
+        &mut sched,
+        "urgent",
+        job("urgent", vec![step(1, 600, 100)]),
+        Millis(4000),
+    );
+    sched.tick(Millis(4000));
+    let started = starts(&plan_and_commit(&mut sched, 2, Millis(4000)));
+
+    assert!(started.iter().any(|start| start.task.job == id("urgent")));
+}
