Count a failure in the random model as the rule does

The oracle counted each end 'failed' whose number was acknowledged. The rule says that an end is taken note of unless the worker's lease lapsed between the end and its acknowledgement; that stands for good. All other failures count as before.

--- a/tests/scheduler_support/sim.rs
+++ b/tests/scheduler_support/sim.rs
@@ -44,6 +44,8 @@
     latest_runs: HashMap<TaskKey, u32>,
     ended: Vec<RunCompletion>,
     last_sequence: u64,
+    /// Last completion after which the lease has lapsed.
+    lapsed_up_to: u64,
     dead_until: u64,
     partitioned_until: u64,
     faulty_until: u64,
@@ -326,6 +328,9 @@
                 worker.restart(now);
             }
             let expired = worker.lease <= now;
+            if expired {
+                worker.lapsed_up_to = worker.last_sequence;
+            }
             let over: Vec<TaskKey> = worker
                 .runs
                 .iter()
@@ -456,6 +461,9 @@
                 RunOutcome::Done => {
                     self.acknowledged_done.insert(end.task.clone());
                 }
+                // An end whose worker's lease lapsed before the acknowledgement is not taken
+                // note of.
+                RunOutcome::Failed if end.sequence <= worker.lapsed_up_to => {}
                 RunOutcome::Failed => {
                     *self
                         .acknowledged_failures
@@ -722,6 +730,7 @@
             latest_runs: HashMap::new(),
             ended: Vec::new(),
             last_sequence: 0,
+            lapsed_up_to: 0,
             dead_until: 0,
             partitioned_until: 0,
             faulty_until: 0,
