--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -232,7 +232,7 @@
     }
 
     /// Ends a run whose start may not be sent, and the other members of its gang, which would wait
-    /// for it in vain.
+    /// for it until they time out.
     fn put_back(&mut self, id: &WorkerId, key: &TaskKey, reason: &str, now: Millis) {
         tracing::info!(task = %key, worker = %id, reason, "start is withheld; the task is put back");
         self.replan = true;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod colocation;
 mod command;
 mod commit;
+mod completions;
 mod crash;
 mod crash_tracker;
 mod entry_age;
--- a/src/scheduler/search_budget.rs
+++ b/src/scheduler/search_budget.rs
@@ -12,10 +12,10 @@
 /// on, so that each job is tried in turn; the order of the jobs at the front stays as it is.
 #[derive(Debug)]
 pub(super) struct SearchBudget {
-    /// Searches from the front of the order.
-    most: usize,
-    /// Further searches from `resume_at` on.
-    more: usize,
+    /// Maximum number of searches from the front of the order.
+    limit: usize,
+    /// Maximum number of further searches from `resume_at` on.
+    resumed_limit: usize,
     used: usize,
     /// First job that the last round left untried.
     resume_at: Option<Turn>,
@@ -25,10 +25,10 @@
 
 impl SearchBudget {
     /// Creates the budget of a round; `resume_at` is where the last one was cut short.
-    pub fn new(most: usize, more: usize, resume_at: Option<Turn>) -> Self {
+    pub fn new(limit: usize, resumed_limit: usize, resume_at: Option<Turn>) -> Self {
         Self {
-            most,
-            more,
+            limit,
+            resumed_limit,
             used: 0,
             resume_at,
             untried: None,
@@ -42,7 +42,7 @@
 
     /// Returns whether searches are left for the job whose turn it is; the jobs come in order.
     pub fn has_left(&mut self, turn: &Turn) -> bool {
-        if self.used < self.most {
+        if self.used < self.limit {
             return true;
         }
         let is_resumed = match &self.resume_at {
@@ -50,7 +50,7 @@
             Some(_) => true,
             None => false,
         };
-        if is_resumed && self.used < self.most + self.more {
+        if is_resumed && self.used < self.limit + self.resumed_limit {
             return true;
         }
         self.untried.get_or_insert_with(|| turn.clone());
