Measure the leader's processor time by activity

Neither logs nor metrics told whether the leader's planning, its calls to workers, its order of work or its takeovers were short of time.

Activities are measured on the thread that runs them, nested ones exclusively. "leader load" tells them once a second with the longest delay of a timer; sapphirecroft_busy_seconds_total and sapphirecroft_loop_delay_seconds are the same as metrics.

--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -11,6 +11,7 @@
 use super::ports::{Transaction, TxnOutcome};
 use crate::prelude::*;
 use crate::scheduler::{BATCH_RECORDS, Batch};
+use crate::telemetry::Activity;
 
 /// Time for which changes are collected into one write; a tenth of the slack of the tightest
 /// latency objective.
@@ -63,7 +64,7 @@
         let Some(batch) = leader.sched.lock().next_batch(least) else {
             return;
         };
-        writes.spawn(write_batch(leader.clone(), batch));
+        writes.spawn(Activity::Record.measure(write_batch(leader.clone(), batch)));
     }
 }
 
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -8,6 +8,7 @@
 use super::poll::poll_worker;
 use crate::prelude::*;
 use crate::scheduler::{Command, StartResponse};
+use crate::telemetry::Activity;
 
 /// Shortest time between two planning rounds; ends and submissions that arrive together share one.
 const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(10);
@@ -64,14 +65,14 @@
     fn start_polling(self: &Arc<Self>, id: WorkerId) {
         let wake = Arc::new(Notify::new());
         self.polls.lock().insert(id.clone(), wake.clone());
-        tokio::spawn(poll_worker(self.clone(), id, wake));
+        tokio::spawn(Activity::Poll.measure(poll_worker(self.clone(), id, wake)));
     }
 
     fn send(self: &Arc<Self>, command: Command) {
         let leader = self.clone();
         match command {
             Command::Start(command) => {
-                tokio::spawn(async move {
+                tokio::spawn(Activity::Command.measure(async move {
                     if leader.term_ended.is_cancelled() {
                         return;
                     }
@@ -111,10 +112,10 @@
                         );
                     });
                     leader.wake_poll(&command.worker);
-                });
+                }));
             }
             Command::Stop(command) => {
-                tokio::spawn(async move {
+                tokio::spawn(Activity::Command.measure(async move {
                     if leader.term_ended.is_cancelled() {
                         return;
                     }
@@ -129,24 +130,24 @@
                             now,
                         );
                     });
-                });
+                }));
             }
             Command::Advise(request) => {
-                tokio::spawn(async move {
+                tokio::spawn(Activity::Command.measure(async move {
                     let advice = leader.shared.workers.advise(&request).await;
                     let allowed = advice.as_ref().map(Vec::len);
                     tracing::info!(job = %request.job, step = request.step, named = request.workers.len(), ?allowed, "advice");
                     leader.update(|sched, now| sched.on_advice(&request, advice.as_deref(), now));
-                });
+                }));
             }
             Command::Pace { run, percent } => {
-                tokio::spawn(async move {
+                tokio::spawn(Activity::Command.measure(async move {
                     if leader.term_ended.is_cancelled() {
                         return;
                     }
                     let done = leader.shared.workers.pace(&run, percent).await;
                     tracing::info!(task = %run.task, run = run.run, worker = %run.worker, percent, acknowledged = done, "pace");
-                });
+                }));
             }
         }
     }
--- /dev/null
+++ b/src/entry/leader_load.rs
@@ -0,0 +1,56 @@
+//! How busy a leader is, and with what.
+
+use std::time::Duration;
+
+use super::leader::Leader;
+use crate::prelude::*;
+use crate::telemetry::Activity;
+
+/// Time between two log lines.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time between two measurements of the delay of the event loop.
+const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Logs once a second the processor time of each activity and the longest delay of the event loop.
+pub(super) async fn log_leader_load(leader: Arc<Leader>) {
+    let mut before = Activity::ALL.map(Activity::total);
+    loop {
+        let longest_delay = measure_loop_delay(&leader).await;
+        let total = Activity::ALL.map(Activity::total);
+        let busy = busy_text(&before, &total);
+        before = total;
+        let (jobs, _, runs) = leader.sched.lock().summary();
+        tracing::info!(
+            jobs,
+            runs,
+            loop_delay_ms = longest_delay.as_millis(),
+            busy_ms = busy,
+            "leader load"
+        );
+    }
+}
+
+/// Measures for one log interval how late timers fire; returns the longest delay.
+async fn measure_loop_delay(leader: &Leader) -> Duration {
+    let mut longest = Duration::ZERO;
+    for _ in 0..LOG_INTERVAL.as_millis() / PROBE_INTERVAL.as_millis() {
+        let due = tokio::time::Instant::now() + PROBE_INTERVAL;
+        tokio::time::sleep_until(due).await;
+        let delay = due.elapsed();
+        let histogram = &leader.shared.metrics.loop_delay_seconds;
+        histogram.observe(delay.as_secs_f64());
+        longest = longest.max(delay);
+    }
+    longest
+}
+
+/// Returns the time spent between two measurements: name and milliseconds of each activity.
+fn busy_text(before: &[Duration], now: &[Duration]) -> String {
+    let spent = before.iter().zip(now).zip(Activity::ALL);
+    let parts = spent.map(|((before, now), activity)| {
+        let millis = now.saturating_sub(*before).as_millis();
+        format!("{}={millis}", activity.name())
+    });
+    parts.collect::<Vec<_>>().join(" ")
+}
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -1,10 +1,12 @@
 //! Prometheus metrics of the daemon.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    IntGaugeVec, Opts, Registry, TextEncoder,
+    CounterVec, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
+    IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
+use crate::telemetry::Activity;
+
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
 
@@ -21,6 +23,10 @@
     pub starts: IntCounterVec,
     /// Time from the change of a job to its durable record.
     pub record_seconds: Histogram,
+    /// Delay of timers, as a measure of the load of the event loop.
+    pub loop_delay_seconds: Histogram,
+    /// Processor time by activity.
+    busy_seconds: CounterVec,
     /// Times that this process became leader.
     pub leaderships: IntCounter,
     /// Number of jobs, workers and runs that the leader knows.
@@ -64,6 +70,22 @@
             )
             .buckets(BUCKETS.to_vec()),
         )?;
+        let loop_delay_seconds = Histogram::with_opts(
+            HistogramOpts::new(
+                "sapphirecroft_loop_delay_seconds",
+                "Delay of timers while this process leads",
+            )
+            .buckets(BUCKETS.to_vec()),
+        )?;
+        let busy_seconds = CounterVec::new(
+            Opts::new(
+                "sapphirecroft_busy_seconds_total",
+                "Processor time by activity",
+            ),
+            &["activity"],
+        )?;
+        registry.register(Box::new(loop_delay_seconds.clone()))?;
+        registry.register(Box::new(busy_seconds.clone()))?;
         let leaderships = IntCounter::new(
             "sapphirecroft_leaderships_total",
             "Times that this process became leader",
@@ -88,6 +110,8 @@
             store_calls,
             starts,
             record_seconds,
+            loop_delay_seconds,
+            busy_seconds,
             leaderships,
             known,
             config_version,
@@ -96,6 +120,10 @@
 
     /// Encodes all metrics in the text format of Prometheus.
     pub fn encode_text(&self) -> Result<Vec<u8>, prometheus::Error> {
+        for activity in Activity::ALL {
+            let counter = self.busy_seconds.with_label_values(&[activity.name()]);
+            counter.inc_by((activity.total().as_secs_f64() - counter.get()).max(0.0));
+        }
         let mut buf = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
         Ok(buf)
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod jobs;
 mod keys;
 mod leader;
+mod leader_load;
 mod load;
 mod maintenance;
 mod metrics;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -7,6 +7,7 @@
 use super::shared::Shared;
 use crate::prelude::*;
 use crate::scheduler::{JobSpec, JobView};
+use crate::telemetry::Activity;
 use crate::web::{WebReq, WebRes, WebService, decode, packed, read_body, text};
 
 /// Maximum size of a call in bytes: the body of a job and an allowance for its encoding.
@@ -58,7 +59,11 @@
             Err(err) => return text(StatusCode::BAD_REQUEST, err),
         };
         let shared = self.shared.clone();
-        match self.runtime.spawn(handle(shared, call)).await {
+        match self
+            .runtime
+            .spawn(Activity::Request.measure(handle(shared, call)))
+            .await
+        {
             Ok(response) => packed(&response),
             Err(err) => text(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
         }
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -8,6 +8,7 @@
 use super::ports::{PollError, PollRequest};
 use crate::prelude::*;
 use crate::scheduler::PollPlan;
+use crate::telemetry::Activity;
 
 /// Pause after a poll without a response.
 const SILENT_PAUSE: Duration = Duration::from_millis(250);
@@ -51,7 +52,10 @@
         match report {
             Ok(report) => {
                 let wall = leader.shared.clock.wall();
-                leader.update(|sched, now| sched.on_report(&id, sent_at, now, wall, &report));
+                {
+                    let _guard = Activity::Report.enter();
+                    leader.update(|sched, now| sched.on_report(&id, sent_at, now, wall, &report));
+                }
                 let pause = leader.sched.lock().unacknowledged_pause(&id);
                 if let Some(pause) = pause {
                     tokio::select! {
--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -10,6 +10,7 @@
 use super::election::{STORE_OUTAGE_TOLERANCE, remove_leader_key};
 use super::keys::LEADER;
 use super::leader::Leader;
+use super::leader_load::log_leader_load;
 use super::load::load_state;
 use super::maintenance::{log_queue_loads, remove_outdated_jobs, save_interference, tick};
 use super::ports::{Change, TxnOutcome, WatchResponse};
@@ -17,6 +18,7 @@
 use super::watches::{watch_intake, watch_workers};
 use crate::prelude::*;
 use crate::scheduler::Scheduler;
+use crate::telemetry::Activity;
 
 /// Time between two renewals of the lease of the leader key; three more fit into the lease after
 /// the first.
@@ -46,10 +48,10 @@
     shared.metrics.leaderships.inc();
     tracing::info!(fence, "leadership taken");
     let mut tasks = JoinSet::new();
-    tasks.spawn(renew_lease(leader.clone(), lease, ttl));
-    tasks.spawn(watch_key(leader.clone()));
+    tasks.spawn(Activity::Lease.measure(renew_lease(leader.clone(), lease, ttl)));
+    tasks.spawn(Activity::Lease.measure(watch_key(leader.clone())));
     let loaded = tokio::select! {
-        loaded = load_state(&leader) => loaded,
+        loaded = Activity::Load.measure(load_state(&leader)) => loaded,
         () = leader.term_ended.cancelled() => None,
     };
     if let Some((intake_at, workers_at)) = loaded {
@@ -61,14 +63,15 @@
             leader.sched.lock().set_queues(queues);
         }
         *shared.leader.write() = Some(leader.clone());
-        tasks.spawn(watch_intake(leader.clone(), intake_at));
-        tasks.spawn(watch_workers(leader.clone(), workers_at));
-        tasks.spawn(tick(leader.clone()));
-        tasks.spawn(log_queue_loads(leader.clone()));
-        tasks.spawn(run_planner(leader.clone()));
-        tasks.spawn(save_interference(leader.clone()));
-        tasks.spawn(remove_outdated_jobs(leader.clone()));
-        tasks.spawn(run_committer(leader.clone()));
+        tasks.spawn(Activity::Watch.measure(watch_intake(leader.clone(), intake_at)));
+        tasks.spawn(Activity::Watch.measure(watch_workers(leader.clone(), workers_at)));
+        tasks.spawn(Activity::Tick.measure(tick(leader.clone())));
+        tasks.spawn(Activity::Tick.measure(log_queue_loads(leader.clone())));
+        tasks.spawn(Activity::Plan.measure(run_planner(leader.clone())));
+        tasks.spawn(Activity::Record.measure(save_interference(leader.clone())));
+        tasks.spawn(Activity::Record.measure(remove_outdated_jobs(leader.clone())));
+        tasks.spawn(Activity::Record.measure(run_committer(leader.clone())));
+        tasks.spawn(log_leader_load(leader.clone()));
         leader.dispatch();
         end_with_tasks(&leader, &mut tasks).await;
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -10,6 +10,7 @@
 };
 use crate::entry::{Change, Item, Page, StateStore, Transaction, TxnOutcome, WatchResponse};
 use crate::prelude::*;
+use crate::telemetry::Activity;
 use crate::web::{Link, LinkError, LinkRequest};
 
 /// Timeout of a read, well above the latency of a degraded store (240 ms).
@@ -27,7 +28,7 @@
     /// Creates a client without opening a connection.
     pub fn new(address: String) -> Self {
         Self {
-            link: Link::new(address),
+            link: Link::new(address, Activity::StoreLink),
         }
     }
 
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -11,6 +11,7 @@
 use crate::entry::{PollError, PollRequest, WorkerCalls};
 use crate::prelude::*;
 use crate::scheduler::{AdviceRequest, StartCommand, StartResponse, StopCommand, WorkerReport};
+use crate::telemetry::Activity;
 use crate::web::{Link, LinkError, LinkRequest};
 
 /// Timeout of a command: a worker responds within a few ms, and a lost packet costs about 200 ms.
@@ -34,7 +35,7 @@
     pub fn new(advice: Option<String>) -> Self {
         Self {
             links: Mutex::default(),
-            advice: advice.map(Link::new),
+            advice: advice.map(|address| Link::new(address, Activity::WorkerLink)),
         }
     }
 
@@ -43,7 +44,7 @@
         if let Some(link) = links.get(address) {
             return link.clone();
         }
-        let link = Arc::new(Link::new(address.to_string()));
+        let link = Arc::new(Link::new(address.to_string(), Activity::WorkerLink));
         links.insert(address.to_string(), link.clone());
         link
     }
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -1,8 +1,14 @@
 //! Set-up of the log output.
 
+use std::fmt;
+
+use tracing::{Event, Subscriber};
 use tracing_subscriber::EnvFilter;
+use tracing_subscriber::fmt::format::{Format, Json, JsonFields, Writer};
+use tracing_subscriber::fmt::{FmtContext, FormatEvent};
+use tracing_subscriber::registry::LookupSpan;
 
-use super::{LineBuffer, LineGuard};
+use super::{Activity, LineBuffer, LineGuard};
 use crate::schema::settings::{LogFormat, LogSettings};
 
 /// Sends logs to standard error in the format of the settings.
@@ -24,11 +30,33 @@
     let (lines, guard) = LineBuffer::start(std::io::stdout())?;
     // A second initialization in one process, as in tests, keeps the first subscriber.
     let _ = tracing_subscriber::fmt()
-        .json()
-        .flatten_event(true)
-        .with_target(false)
+        .fmt_fields(JsonFields::new())
+        .event_format(MeasuredFormat(
+            Format::default()
+                .json()
+                .flatten_event(true)
+                .with_target(false),
+        ))
         .with_max_level(tracing::Level::INFO)
         .with_writer(lines)
         .try_init();
     Ok(guard)
 }
+
+/// JSON format whose processor time is measured.
+struct MeasuredFormat(Format<Json>);
+
+impl<S> FormatEvent<S, JsonFields> for MeasuredFormat
+where
+    S: Subscriber + for<'a> LookupSpan<'a>,
+{
+    fn format_event(
+        &self,
+        cx: &FmtContext<'_, S, JsonFields>,
+        writer: Writer<'_>,
+        event: &Event<'_>,
+    ) -> fmt::Result {
+        let _guard = Activity::Log.enter();
+        self.0.format_event(cx, writer, event)
+    }
+}
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,7 +1,9 @@
 //! Logs and metrics.
 
+mod busy_time;
 mod line_buffer;
 mod logs;
 
+pub use busy_time::{Activity, ActivityGuard, Measured, MeasuredExecutor};
 pub use line_buffer::{LineBuffer, LineGuard};
 pub use logs::{init_json_logs, init_logs};
--- a/src/web/link.rs
+++ b/src/web/link.rs
@@ -7,10 +7,10 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 use parking_lot::Mutex;
 
 use crate::prelude::*;
+use crate::telemetry::{Activity, MeasuredExecutor};
 
 /// Largest answer: a page of the store has at most about 1 MB of values in base64.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -38,6 +38,7 @@
 /// Connections to one peer.
 pub struct Link {
     address: String,
+    activity: Activity,
     pool: Mutex<Pool>,
 }
 
@@ -56,11 +57,13 @@
 }
 
 impl Link {
-    /// Creates a link to `address` without opening a connection.
-    pub fn new(address: String) -> Self {
+    /// Creates a link to `address` without opening a connection. The work of its connections is
+    /// measured as `activity`.
+    pub fn new(address: String, activity: Activity) -> Self {
         Self {
             address,
-            pool: Mutex::new(new_pool()),
+            activity,
+            pool: Mutex::new(new_pool(activity)),
         }
     }
 
@@ -80,7 +83,7 @@
             Ok(result) => result,
             Err(_) => {
                 // Other pooled connections may have fallen silent for the same reason.
-                *self.pool.lock() = new_pool();
+                *self.pool.lock() = new_pool(self.activity);
                 Err(LinkError::NoAnswer(format!("silent for {timeout} ms")))
             }
         }
@@ -116,11 +119,11 @@
     }
 }
 
-fn new_pool() -> Pool {
+fn new_pool(activity: Activity) -> Pool {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    Client::builder(TokioExecutor::new())
+    Client::builder(MeasuredExecutor(activity))
         .pool_max_idle_per_host(MAX_IDLE)
         .build(connector)
 }
