Count planning rounds and searches of the fleet, and show a search for each task

A planning round searches all workers once for every task, although the tasks of a step are equal: 80 searches for 4 steps of 20 tasks.

The counts are in "leader load" and in the metrics.

--- a/src/entry/leader_load.rs
+++ b/src/entry/leader_load.rs
@@ -15,15 +15,26 @@
 /// Logs once a second the processor time of each activity and the longest delay of the event loop.
 pub(super) async fn log_leader_load(leader: Arc<Leader>) {
     let mut before = Activity::ALL.map(Activity::total);
+    let mut counts_before = leader.sched.lock().plan_counts();
     loop {
         let longest_delay = measure_loop_delay(&leader).await;
         let total = Activity::ALL.map(Activity::total);
         let busy = busy_text(&before, &total);
         before = total;
-        let (jobs, _, runs) = leader.sched.lock().summary();
+        let ((jobs, _, runs), counts) = {
+            let sched = leader.sched.lock();
+            (sched.summary(), sched.plan_counts())
+        };
+        let rounds = counts.rounds - counts_before.rounds;
+        let searches = counts.searches - counts_before.searches;
+        counts_before = counts;
+        leader.shared.metrics.plan_rounds.inc_by(rounds);
+        leader.shared.metrics.searches.inc_by(searches);
         tracing::info!(
             jobs,
             runs,
+            rounds,
+            searches,
             loop_delay_ms = longest_delay.as_millis(),
             busy_ms = busy,
             "leader load"
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -25,6 +25,10 @@
     pub record_seconds: Histogram,
     /// Delay of timers, as a measure of the load of the event loop.
     pub loop_delay_seconds: Histogram,
+    /// Planning rounds.
+    pub plan_rounds: IntCounter,
+    /// Searches of the whole fleet by planning rounds.
+    pub searches: IntCounter,
     /// Processor time by activity.
     busy_seconds: CounterVec,
     /// Times that this process became leader.
@@ -86,6 +90,13 @@
         )?;
         registry.register(Box::new(loop_delay_seconds.clone()))?;
         registry.register(Box::new(busy_seconds.clone()))?;
+        let plan_rounds = IntCounter::new("sapphirecroft_plan_rounds_total", "Planning rounds")?;
+        let searches = IntCounter::new(
+            "sapphirecroft_searches_total",
+            "Searches of the whole fleet by planning rounds",
+        )?;
+        registry.register(Box::new(plan_rounds.clone()))?;
+        registry.register(Box::new(searches.clone()))?;
         let leaderships = IntCounter::new(
             "sapphirecroft_leaderships_total",
             "Times that this process became leader",
@@ -111,6 +122,8 @@
             starts,
             record_seconds,
             loop_delay_seconds,
+            plan_rounds,
+            searches,
             busy_seconds,
             leaderships,
             known,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -47,5 +47,5 @@
 pub use record::{JobRecord, Placement, TaskRecord};
 pub use report::{RunCompletion, RunOutcome, RunStatus, WorkerReport};
 pub use spec::{JobSpec, Repeat, StepSpec, TaskKey};
-pub use state::{Scheduler, Timing};
+pub use state::{PlanCounts, Scheduler, Timing};
 pub use worker::{Worker, WorkerEntry};
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -41,6 +41,7 @@
             return 0;
         }
         self.replan = false;
+        self.counts.rounds += 1;
         self.refresh_margins();
         let mut round = Round::new(std::mem::take(&mut self.resume));
         round.long_before = now.0.checked_sub(MAX_IDLE.0).map(Millis);
@@ -265,11 +266,12 @@
 
     /// Searches for a worker and records a failure in the findings of the round.
     fn search(
-        &self,
+        &mut self,
         request: &PlacementRequest,
         round: &mut Round,
         now: Millis,
     ) -> Option<WorkerId> {
+        self.counts.searches += 1;
         match self.select_worker(request, now) {
             Ok(worker) => Some(worker),
             Err(failure) => {
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -23,6 +23,7 @@
             return false;
         }
         round.preemptions.spend();
+        self.counts.searches += 1;
         let mut best: Option<(u64, WorkerId, Vec<TaskKey>)> = None;
         let mut limited = false;
         for worker in self.workers.values() {
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -61,6 +61,16 @@
     pub(super) entries_watched_at: Option<Millis>,
     /// The leader is authorised to send new starts.
     pub(super) may_start: bool,
+    pub(super) counts: PlanCounts,
+}
+
+/// What planning has cost so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlanCounts {
+    /// Planning rounds.
+    pub rounds: u64,
+    /// Searches of the whole fleet, for a worker with room or for runs to preempt.
+    pub searches: u64,
 }
 
 impl Scheduler {
@@ -86,9 +96,15 @@
             replan: true,
             entries_watched_at: None,
             may_start: true,
+            counts: PlanCounts::default(),
         }
     }
 
+    /// Returns what planning has cost so far.
+    pub fn plan_counts(&self) -> PlanCounts {
+        self.counts
+    }
+
     /// Sets whether the leader is authorised to send new starts.
     pub fn allow_starts(&mut self, allowed: bool) {
         self.replan |= allowed && !self.may_start;
--- /dev/null
+++ b/tests/scheduler_cost.rs
@@ -0,0 +1,48 @@
+//! Cost of planning: how often the leader searches the fleet.
+
+mod scheduler_support;
+
+use sapphirecroft::prelude::*;
+use sapphirecroft::scheduler::Scheduler;
+use scheduler_support::*;
+
+const WORKERS: usize = 40;
+const TASKS: u32 = 20;
+
+/// A fleet of which each worker has room for four tasks of `job_of`.
+fn fleet() -> Scheduler {
+    let mut sched = leader(Millis(0));
+    for at in 0..WORKERS {
+        register(&mut sched, entry(at, 1, 4000, 4000), Millis(0));
+    }
+    sched
+}
+
+fn submit_jobs(sched: &mut Scheduler, count: usize, best_effort: bool) {
+    for at in 0..count {
+        let mut tasks = step(TASKS, 1000, 1000);
+        tasks.best_effort = best_effort;
+        submit(
+            sched,
+            &format!("j{at:03}"),
+            job("urgent", vec![tasks]),
+            Millis(0),
+        );
+    }
+}
+
+/// Guards against a search of the whole fleet for each task: on a large fleet the leader spends a
+/// quarter of its processor time on planning, and every start waits (SHORT).
+#[test]
+fn equal_tasks_of_a_step_share_one_search_of_the_fleet() {
+    for best_effort in [false, true] {
+        let mut sched = fleet();
+        submit_jobs(&mut sched, 4, best_effort);
+
+        let started = starts(&plan_and_commit(&mut sched, 1, Millis(10)));
+
+        assert_eq!(started.len(), 4 * TASKS as usize);
+        let searches = sched.plan_counts().searches;
+        assert!(searches <= 4, "{searches} searches for 4 steps");
+    }
+}
