Search the fleet once for all tasks of a step

One search now yields the candidates of a step in the order of their cost; a placement changes the cost of one worker only, which is put back. The search itself first passes over a contiguous table of room and service, refreshed once a round.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 //! take out commands and records.
 
 mod advice;
+mod candidates;
 mod colocation;
 mod command;
 mod commit;
@@ -12,6 +13,7 @@
 mod crash;
 mod crash_tracker;
 mod entry_age;
+mod fleet;
 mod interference;
 mod job;
 mod order;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 
+use super::candidates::Candidates;
 use super::crash::needs_trial;
 use super::order::{Group, Rank, WaitingJob, rank};
 use super::round::Round;
@@ -43,6 +44,7 @@
         self.replan = false;
         self.counts.rounds += 1;
         self.refresh_margins();
+        self.fleet.refresh(&self.workers, now);
         let mut round = Round::new(std::mem::take(&mut self.resume));
         round.long_before = now.0.checked_sub(MAX_IDLE.0).map(Millis);
         round.spare_services = self.spare_services();
@@ -173,6 +175,7 @@
             .map(|_| self.advice.get(&step_key).cloned().unwrap_or_default());
         let before = round.mark();
         let mut placed = Vec::new();
+        let mut candidates = None;
         for index in open {
             let failures = job.instances[instance].tasks[index].failures;
             let crashes = job.instances[instance].tasks[index].crashes;
@@ -191,6 +194,8 @@
                 needs_trial(crashes) && !step.gang && self.may_begin_trial(&queue.service, now);
             let key = job.key(instance, index);
             let trial = if in_trial {
+                // A trial takes its worker past the search of the step.
+                candidates = None;
                 self.find_trial(&request, key.clone(), now)
             } else {
                 Trial::Anywhere
@@ -199,7 +204,7 @@
                 Trial::On(worker) => Some(worker),
                 Trial::Wait => continue,
                 Trial::Anywhere if round.is_known_to_fail(&request) => None,
-                Trial::Anywhere => self.search(&request, round, now),
+                Trial::Anywhere => self.search(&request, &mut candidates, round, now),
             };
             let Some(worker) = found else {
                 if step.best_effort || !self.preempt(&request, queue.priority, turn, round, now) {
@@ -226,7 +231,7 @@
             if let Some(found) = self.workers.get_mut(&worker) {
                 found.add_run(key.clone(), run);
             }
-            self.refresh_margin(&worker);
+            self.refresh_searched(&worker, now);
             if step.max_per_worker.is_some() {
                 *tasks_per_worker.entry(worker.clone()).or_default() += 1;
             }
@@ -245,34 +250,42 @@
                 let overdue = round.is_overdue(job, &queue.service);
                 round.record_unplaceable(step, &queue.service, overdue, placed.len() + 1);
             }
-            self.withdraw(job, instance, placed);
+            self.withdraw(job, instance, placed, now);
             return 0;
         }
         placed.len()
     }
 
     /// Takes the planned runs of an incomplete gang back.
-    fn withdraw(&mut self, job: &mut Job, instance: usize, placed: Vec<PlacedMember>) {
+    fn withdraw(&mut self, job: &mut Job, instance: usize, placed: Vec<PlacedMember>, now: Millis) {
         for member in placed {
             if let Some(found) = self.workers.get_mut(&member.worker) {
                 found.remove_run(&member.key);
             }
-            self.refresh_margin(&member.worker);
+            self.refresh_searched(&member.worker, now);
             let task = &mut job.instances[instance].tasks[member.index];
             task.place = None;
             task.run = member.former_run;
         }
     }
 
+    /// Updates what searches know of a worker whose runs have changed within a round.
+    fn refresh_searched(&mut self, id: &WorkerId, now: Millis) {
+        self.refresh_margin(id);
+        if let Some(worker) = self.workers.get(id) {
+            self.fleet.refresh_worker(worker, now);
+        }
+    }
+
     /// Searches for a worker and records a failure in the findings of the round.
     fn search(
         &mut self,
         request: &PlacementRequest,
+        candidates: &mut Option<Candidates>,
         round: &mut Round,
         now: Millis,
     ) -> Option<WorkerId> {
-        self.counts.searches += 1;
-        match self.select_worker(request, now) {
+        match self.take_candidate(candidates, request, now) {
             Ok(worker) => Some(worker),
             Err(failure) => {
                 round.failed_searches.spend();
--- a/src/scheduler/selection.rs
+++ b/src/scheduler/selection.rs
@@ -37,37 +37,25 @@
         cost(worker, request, &self.interference)
     }
 
-    /// Returns the cheapest worker with enough free resources for one task of a step.
-    pub(super) fn select_worker(
+    /// Returns the cost of a worker with room for a task, including what speaks against the worker;
+    /// `None` if the task would disturb its runs.
+    pub(super) fn select_cost(
         &self,
+        worker: &Worker,
         request: &PlacementRequest,
         now: Millis,
-    ) -> Result<WorkerId, NotFound> {
-        let reservation = request.step.reservation();
-        let mut best: Option<(u64, &Worker)> = None;
-        let mut failure = NotFound::NoRoom;
-        for worker in self.workers.values() {
-            if !worker.has_room_for(&reservation, &Resources::default())
-                || !request.is_eligible(worker, now)
-            {
-                continue;
-            }
-            let suspect = worker.health.is_suspect(now);
-            if !request.is_within_limits(worker, now) || (suspect && request.last_attempt) {
-                failure = NotFound::OwnLimits;
-                continue;
-            }
-            let Some(cost) = self.cost(worker, request) else {
-                continue;
-            };
-            let cost = cost + u64::from(suspect) * SUSPECT_COST;
-            let shares_suspect = request.crashes > 0 && worker.suspects > 0;
-            let cost = cost + u64::from(shares_suspect) * SHARED_SUSPECT_COST;
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, worker));
-            }
+    ) -> Result<Option<u64>, NotFound> {
+        if !request.accepts_label(worker) {
+            return Ok(None);
         }
-        best.map(|(_, worker)| worker.id.clone()).ok_or(failure)
+        let suspect = worker.health.is_suspect(now);
+        if !request.is_within_limits(worker, now) || (suspect && request.last_attempt) {
+            return Err(NotFound::OwnLimits);
+        }
+        let shares_suspect = request.crashes > 0 && worker.suspects > 0;
+        let extra =
+            u64::from(suspect) * SUSPECT_COST + u64::from(shares_suspect) * SHARED_SUSPECT_COST;
+        Ok(self.cost(worker, request).map(|cost| cost + extra))
     }
 }
 
@@ -104,26 +92,13 @@
     /// Returns whether tasks of this service and label may run on a worker, apart from its free
     /// resources.
     pub fn is_eligible(&self, worker: &Worker, now: Millis) -> bool {
-        if !worker.fenced || worker.entry_is_old || worker.missed_polls > 0 {
-            return false;
-        }
-        if worker.has_trial(now) {
-            return false;
-        }
-        if worker.health.is_cooling_down(now) {
-            return false;
-        }
-        let eligible = worker.entry.as_ref().is_some_and(|entry| {
-            !entry.draining
-                && entry.incarnation == worker.incarnation
-                && entry.service == self.service
-        });
-        let labelled = self
-            .step
-            .requires
-            .as_ref()
-            .is_none_or(|label| worker.has_label(label));
-        eligible && labelled
+        worker.takes_runs(now) && worker.belongs_to(self.service) && self.accepts_label(worker)
+    }
+
+    /// Returns whether the worker has the label that the step requires.
+    pub fn accepts_label(&self, worker: &Worker) -> bool {
+        let label = self.step.requires.as_ref();
+        label.is_none_or(|label| worker.has_label(label))
     }
 
     /// Returns whether the limits of this task alone admit a worker.
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -5,6 +5,7 @@
 use super::advice::{Advice, StepKey};
 use super::crash::needs_trial;
 use super::crash_tracker::CrashTracker;
+use super::fleet::Fleet;
 use super::interference::Interference;
 use super::record_queue::RecordQueue;
 use super::round::Resume;
@@ -62,6 +63,7 @@
     /// The leader is authorised to send new starts.
     pub(super) may_start: bool,
     pub(super) counts: PlanCounts,
+    pub(super) fleet: Fleet,
 }
 
 /// What planning has cost so far.
@@ -97,6 +99,7 @@
             entries_watched_at: None,
             may_start: true,
             counts: PlanCounts::default(),
+            fleet: Fleet::default(),
         }
     }
 
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -238,6 +238,16 @@
         self.entry.as_ref().is_some_and(|entry| !entry.draining)
     }
 
+    /// Returns whether the worker can be given runs now, apart from its free resources.
+    pub(super) fn takes_runs(&self, now: Millis) -> bool {
+        let is_known = self.fenced && !self.entry_is_old && self.missed_polls == 0;
+        let entry = self.entry.as_ref();
+        is_known
+            && !self.has_trial(now)
+            && !self.health.is_cooling_down(now)
+            && entry.is_some_and(|entry| !entry.draining && entry.incarnation == self.incarnation)
+    }
+
     /// Returns whether the worker belongs to a service.
     pub(super) fn belongs_to(&self, service: &str) -> bool {
         self.entry
