Look at the tasks of a job again only when the job has changed

Each round looked at all tasks of all active jobs to rank them, 500 jobs of 20 to 40 tasks under load, and hashed the service of every worker. What planning needs of a job now stays until its version changes or its next occurrence is due; the loads of services come from the table that a round refreshes anyway, and their sums saturate.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -4,7 +4,7 @@
 //! refreshed once for each planning round; checking it costs a small part of a look at the workers
 //! themselves.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use super::Worker;
 use crate::prelude::*;
@@ -35,6 +35,8 @@
     ids: Vec<WorkerId>,
     slots: Vec<Slot>,
     services: Vec<String>,
+    /// CPU that runs reserve and that workers offer, in millicores, by the index of the service.
+    loads: Vec<(u64, u64)>,
 }
 
 impl Fleet {
@@ -44,13 +46,37 @@
             self.ids = workers.keys().cloned().collect();
         }
         self.services.clear();
+        self.loads.clear();
         self.slots.clear();
         for worker in workers.values() {
             let slot = self.slot_of(worker, now);
             self.slots.push(slot);
+            self.add_load(worker);
         }
     }
 
+    /// Returns the services of whose workers runs reserve less than a share of the CPU, in
+    /// thousandths.
+    pub fn spare_services(&self, permille: u64) -> HashSet<String> {
+        let loads = self.services.iter().zip(&self.loads);
+        loads
+            .filter(|(_, (reserved, offered))| {
+                u128::from(*reserved) * 1000 < u128::from(*offered) * u128::from(permille)
+            })
+            .map(|(service, _)| service.clone())
+            .collect()
+    }
+
+    fn add_load(&mut self, worker: &Worker) {
+        let Some(entry) = worker.entry.as_ref().filter(|entry| !entry.draining) else {
+            return;
+        };
+        let index = self.intern(&entry.service);
+        let (reserved, offered) = &mut self.loads[index];
+        *reserved = reserved.saturating_add(worker.reserved.cpu.0);
+        *offered = offered.saturating_add(worker.reserved.cpu.0.max(entry.capacity.cpu.0));
+    }
+
     /// Takes over the present state of one worker.
     pub fn refresh_worker(&mut self, worker: &Worker, now: Millis) {
         if let Ok(position) = self.ids.binary_search(&worker.id) {
@@ -91,16 +117,19 @@
         self.services.iter().position(|known| known == service)
     }
 
+    /// Returns the index of a service; a new one gets the next.
+    fn intern(&mut self, service: &str) -> usize {
+        self.service_index(service).unwrap_or_else(|| {
+            self.services.push(service.to_string());
+            self.loads.push((0, 0));
+            self.services.len() - 1
+        })
+    }
+
     fn slot_of(&mut self, worker: &Worker, now: Millis) -> Slot {
         let entry = worker.entry.as_ref();
         let service = match entry.filter(|_| worker.takes_runs(now)) {
-            Some(entry) => match self.service_index(&entry.service) {
-                Some(index) => index,
-                None => {
-                    self.services.push(entry.service.clone());
-                    self.services.len() - 1
-                }
-            },
+            Some(entry) => self.intern(&entry.service),
             None => NO_SERVICE,
         };
         let capacity = worker.capacity();
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -1,5 +1,6 @@
 //! State of a job in the leader's memory.
 
+use super::waits::Waits;
 use super::{JobRecord, JobSpec, Placement, StepSpec, TaskKey, TaskRecord};
 use crate::prelude::*;
 
@@ -87,6 +88,8 @@
     pub(super) write_in_flight: bool,
     /// Time since when a task has been ready while no run of the job is placed.
     pub(super) idle_since: Option<Millis>,
+    /// What planning needs to know of the tasks.
+    pub(super) waits: Waits,
 }
 
 impl Job {
@@ -133,6 +136,7 @@
             revision: 0,
             write_in_flight: false,
             idle_since: None,
+            waits: Waits::default(),
         }
     }
 
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -1,6 +1,6 @@
 //! Assigns ready tasks to workers, the most urgent job first.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use super::candidates::Candidates;
 use super::crash::needs_trial;
@@ -11,7 +11,7 @@
 use super::state::new_run;
 use super::trial::Trial;
 use super::worker::RunState;
-use super::{Job, Queue, Scheduler, TaskKey, Worker};
+use super::{Job, Queue, QueueTable, Scheduler, TaskKey, Worker};
 use crate::prelude::*;
 
 /// Maximum number of tasks assigned in one round, so that a round stays short on a small machine.
@@ -47,7 +47,7 @@
         self.fleet.refresh(&self.workers, now);
         let mut round = Round::new(std::mem::take(&mut self.resume));
         round.long_before = now.0.checked_sub(MAX_IDLE.0).map(Millis);
-        round.spare_services = self.spare_services();
+        round.spare_services = self.fleet.spare_services(SPARE_PERMILLE);
         let ranked = self.ranked(&round, now);
         let mut assigned = 0;
         for turn in ranked {
@@ -65,63 +65,25 @@
 
     /// Returns the jobs with a task to assign, the most urgent first.
     fn ranked(&mut self, round: &Round, now: Millis) -> Vec<Turn> {
-        let mut waiting = Vec::new();
-        for id in &self.active {
-            if self
-                .jobs
-                .get_mut(id)
-                .is_some_and(|job| job.update_idle(now))
-            {
-                waiting.push(id);
-            }
-        }
         let mut ranked: Vec<Turn> = Vec::new();
-        for id in waiting {
-            let Some(job) = self.jobs.get(id) else {
+        for id in &self.active {
+            let Some(job) = self.jobs.get_mut(id) else {
                 continue;
             };
+            if !job.update_waits(now) {
+                continue;
+            }
             let away_since = round
                 .long_before
                 .and_then(|before| job.away_longest(before));
             ranked.extend(away_since.map(|since| (Rank::returning(since), id.clone())));
-            ranked.extend(self.rank(job, round, now).map(|rank| (rank, id.clone())));
+            let rank = rank_job(&self.queues, job, round, now);
+            ranked.extend(rank.map(|rank| (rank, id.clone())));
         }
         ranked.sort_unstable();
         ranked
     }
 
-    /// Returns the services of whose workers so much is unreserved that no job has reason to wait.
-    fn spare_services(&self) -> HashSet<String> {
-        let mut loads: HashMap<&str, (u64, u64)> = HashMap::new();
-        for worker in self.workers.values() {
-            if let Some(entry) = worker.entry.as_ref().filter(|entry| !entry.draining) {
-                let (reserved, capacity) = loads.entry(&entry.service).or_default();
-                *reserved += worker.reserved.cpu.0;
-                *capacity += worker.reserved.cpu.0 + worker.free().cpu.0;
-            }
-        }
-        loads
-            .into_iter()
-            .filter(|(_, (reserved, capacity))| reserved * 1000 < capacity * SPARE_PERMILLE)
-            .map(|(service, _)| service.to_string())
-            .collect()
-    }
-
-    fn rank(&self, job: &Job, round: &Round, now: Millis) -> Option<Rank> {
-        let queue = self.queues.queues.get(&job.spec.queue)?;
-        let (work, work_left) = job.work();
-        let waiting = WaitingJob {
-            priority: queue.priority,
-            long_running: job.is_long_running(),
-            overdue: round.is_overdue(job, &queue.service),
-            objective_at: job.objective_at,
-            objective_span: job.objective_span,
-            work,
-            work_left,
-        };
-        Some(rank(&waiting, now))
-    }
-
     fn plan_job(&mut self, turn: &Turn, round: &mut Round, now: Millis) -> usize {
         let (_, id) = turn;
         let Some(mut job) = self.jobs.remove(id) else {
@@ -301,6 +263,20 @@
     }
 }
 
+fn rank_job(queues: &QueueTable, job: &Job, round: &Round, now: Millis) -> Option<Rank> {
+    let queue = queues.queues.get(&job.spec.queue)?;
+    let waiting = WaitingJob {
+        priority: queue.priority,
+        long_running: job.is_long_running(),
+        overdue: round.is_overdue(job, &queue.service),
+        objective_at: job.objective_at,
+        objective_span: job.objective_span,
+        work: job.waits.work,
+        work_left: job.waits.work_left,
+    };
+    Some(rank(&waiting, now))
+}
+
 /// Counts the placed tasks of a step on each worker.
 fn count_tasks_per_worker(job: &Job, instance: usize) -> HashMap<WorkerId, u32> {
     let mut counts: HashMap<WorkerId, u32> = HashMap::new();
--- a/tests/scheduler_cost.rs
+++ b/tests/scheduler_cost.rs
@@ -3,7 +3,7 @@
 mod scheduler_support;
 
 use sapphirecroft::prelude::*;
-use sapphirecroft::scheduler::{Scheduler, StartResponse};
+use sapphirecroft::scheduler::{Repeat, Scheduler, StartResponse};
 use scheduler_support::*;
 
 const WORKERS: usize = 40;
@@ -66,3 +66,25 @@
     let searches = sched.plan_counts().searches - before;
     assert_eq!(searches, 2, "one for room and one for runs to stop");
 }
+
+/// Guards against an occurrence that does not start when it becomes due, because nothing else of its
+/// job has changed since the leader looked at its tasks.
+#[test]
+fn an_occurrence_starts_when_it_is_due_without_another_change() {
+    let mut sched = fleet();
+    let mut timed = job("urgent", vec![step(1, 1000, 1000)]);
+    timed.repeat = Some(Repeat {
+        count: 2,
+        first: Timestamp(1000),
+        interval: Millis(500),
+    });
+    submit(&mut sched, "timed", timed, Millis(0));
+
+    let started_at = |sched: &mut Scheduler, now| {
+        sched.tick(Millis(now));
+        starts(&plan_and_commit(sched, now, Millis(now))).len()
+    };
+
+    let started = [900, 990, 1000, 1400, 1500].map(|now| started_at(&mut sched, now));
+    assert_eq!(started, [0, 0, 1, 0, 1]);
+}
