Call workers and the store over direct connections

A link now keeps its idle connections itself and sends requests on them with hyper's connection; bodies are encoded from types. A connection that the peer has closed is replaced as before, without a failed call if the request was not written, and a silent call still replaces all connections.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -42,7 +42,7 @@
         let req = LinkRequest {
             method,
             path,
-            headers: &[("content-type", "application/json".to_string())],
+            headers: &[("content-type", "application/json")],
             body,
             timeout,
         };
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -77,6 +77,43 @@
     pub lease_id: u64,
 }
 
+/// Request for the lists of a worker, which renews its lease.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+pub(super) struct WirePoll {
+    pub fence: u64,
+    pub last_seen: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub deadline_ms: Option<u64>,
+    #[serde(skip_serializing_if = "is_zero")]
+    pub wait_ms: u64,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+pub(super) struct WireStart<'a> {
+    pub task: String,
+    pub run_id: u32,
+    pub spec: &'a str,
+    pub deadline_ms: u64,
+    pub fence: u64,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    pub checkpoint_id: &'a str,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    pub ticket: &'a str,
+}
+
+/// A stop, or with a percentage, a change of the pace.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+pub(super) struct WireCommand {
+    pub task: String,
+    pub run_id: u32,
+    pub fence: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub percent: Option<u32>,
+}
+
 /// Lists of the runs of a worker, as it responds to a poll.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -5,9 +5,10 @@
 use async_trait::async_trait;
 use http::{Method, StatusCode};
 use parking_lot::Mutex;
-use serde_json::{Value, json};
+use serde::Serialize;
+use serde_json::json;
 
-use super::wire::{WireAdvice, WireLists, WireReason};
+use super::wire::{WireAdvice, WireCommand, WireLists, WirePoll, WireReason, WireStart};
 use crate::entry::{PollError, PollRequest, WorkerCalls};
 use crate::prelude::*;
 use crate::scheduler::{AdviceRequest, StartCommand, StartResponse, StopCommand, WorkerReport};
@@ -54,27 +55,31 @@
         worker: &WorkerId,
         address: &str,
         path: &str,
-        body: &Value,
+        body: &impl Serialize,
         timeout: Millis,
     ) -> Result<(StatusCode, bytes::Bytes), LinkError> {
+        let body = serde_json::to_vec(body).map_err(|err| LinkError::NotSent(err.to_string()))?;
         let req = LinkRequest {
             method: Method::POST,
             path,
             headers: &[
-                ("content-type", "application/json".to_string()),
-                ("expect-instance", worker.to_string()),
+                ("content-type", "application/json"),
+                ("expect-instance", worker.as_str()),
             ],
-            body: body.to_string().into_bytes(),
+            body,
             timeout,
         };
         let (status, _, body) = self.link(address).call(req).await?;
         Ok((status, body))
     }
 
-    async fn send_command(&self, command: &StopCommand, path: &str, mut body: Value) -> bool {
-        body["task"] = json!(command.task.to_string());
-        body["runId"] = json!(command.run);
-        body["fence"] = json!(command.fence);
+    async fn send_command(&self, command: &StopCommand, path: &str, percent: Option<u32>) -> bool {
+        let body = WireCommand {
+            task: command.task.to_string(),
+            run_id: command.run,
+            fence: command.fence,
+            percent,
+        };
         let called = self
             .call(
                 &command.worker,
@@ -105,13 +110,12 @@
         worker: &WorkerId,
         request: &PollRequest,
     ) -> Result<WorkerReport, PollError> {
-        let mut body = json!({ "fence": request.fence, "lastSeen": request.last_acknowledged });
-        if let Some(deadline) = request.deadline {
-            body["deadlineMs"] = json!(deadline.0);
-        }
-        if request.wait > Millis::ZERO {
-            body["waitMs"] = json!(request.wait.0);
-        }
+        let body = WirePoll {
+            fence: request.fence,
+            last_seen: request.last_acknowledged,
+            deadline_ms: request.deadline.map(|deadline| deadline.0),
+            wait_ms: request.wait.0,
+        };
         let broken_call = |reason: String| {
             PollError::Failed(CallError::Broken {
                 addr: request.address.clone(),
@@ -139,19 +143,15 @@
     }
 
     async fn start(&self, command: &StartCommand) -> StartResponse {
-        let mut body = json!({
-            "task": command.task.to_string(),
-            "runId": command.run,
-            "spec": command.payload,
-            "deadlineMs": command.deadline.0,
-            "fence": command.fence,
-        });
-        if !command.checkpoint.is_empty() {
-            body["checkpointId"] = json!(command.checkpoint);
-        }
-        if !command.ticket.is_empty() {
-            body["ticket"] = json!(command.ticket);
-        }
+        let body = WireStart {
+            task: command.task.to_string(),
+            run_id: command.run,
+            spec: &command.payload,
+            deadline_ms: command.deadline.0,
+            fence: command.fence,
+            checkpoint_id: &command.checkpoint,
+            ticket: &command.ticket,
+        };
         let called = self
             .call(
                 &command.worker,
@@ -188,7 +188,7 @@
     }
 
     async fn stop(&self, command: &StopCommand) -> bool {
-        self.send_command(command, "/run-stop", json!({})).await
+        self.send_command(command, "/run-stop", None).await
     }
 
     async fn advise(&self, advice_request: &AdviceRequest) -> Option<Vec<(WorkerId, String)>> {
@@ -208,7 +208,7 @@
         let req = LinkRequest {
             method: Method::POST,
             path: "/advise",
-            headers: &[("content-type", "application/json".to_string())],
+            headers: &[("content-type", "application/json")],
             body: json!({ "step": step, "workers": names })
                 .to_string()
                 .into_bytes(),
@@ -235,7 +235,6 @@
     }
 
     async fn pace(&self, command: &StopCommand, percent: u32) -> bool {
-        self.send_command(command, "/pace", json!({ "percent": percent }))
-            .await
+        self.send_command(command, "/pace", Some(percent)).await
     }
 }
--- a/src/telemetry/busy_time.rs
+++ b/src/telemetry/busy_time.rs
@@ -12,7 +12,6 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use hyper::rt::Executor;
 use pin_project_lite::pin_project;
 
 /// What a thread spends its time on.
@@ -145,20 +144,6 @@
     }
 }
 
-/// Runs the tasks of an HTTP client on the current runtime and measures them as an activity.
-#[derive(Clone, Copy, Debug)]
-pub struct MeasuredExecutor(pub Activity);
-
-impl<F> Executor<F> for MeasuredExecutor
-where
-    F: Future + Send + 'static,
-    F::Output: Send + 'static,
-{
-    fn execute(&self, future: F) {
-        tokio::spawn(self.0.measure(future));
-    }
-}
-
 /// Adds the time since the last switch to the current activity and makes `next` the current one;
 /// returns the activity before.
 fn switch_to(next: Option<Activity>) -> Option<Activity> {
--- a/src/web/link.rs
+++ b/src/web/link.rs
@@ -3,14 +3,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::header::HOST;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use tokio::net::TcpStream;
 
 use crate::prelude::*;
-use crate::telemetry::{Activity, MeasuredExecutor};
+use crate::telemetry::Activity;
 
 /// Largest answer: a page of the store has at most about 1 MB of values in base64.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -33,13 +36,25 @@
     NoAnswer(String),
 }
 
-type Pool = Client<HttpConnector, Full<Bytes>>;
+type Connection = SendRequest<Full<Bytes>>;
 
 /// Connections to one peer.
+///
+/// A connection carries one request at a time and is driven without the layers of a general client:
+/// calls to workers are half of the work of a leader.
 pub struct Link {
     address: String,
     activity: Activity,
-    pool: Mutex<Pool>,
+    idle: Mutex<IdleConnections>,
+}
+
+/// Connections that wait for a request.
+#[derive(Default)]
+struct IdleConnections {
+    connections: Vec<Connection>,
+    /// Number of times that all connections have been given up. A connection that was opened before
+    /// the last time is not kept.
+    generation: u64,
 }
 
 /// A request on a link.
@@ -49,7 +64,7 @@
     /// Path and query.
     pub path: &'a str,
     /// Headers besides those of HTTP itself.
-    pub headers: &'a [(&'static str, String)],
+    pub headers: &'a [(&'static str, &'a str)],
     /// Body.
     pub body: Vec<u8>,
     /// Time for the whole exchange.
@@ -63,7 +78,7 @@
         Self {
             address,
             activity,
-            pool: Mutex::new(new_pool(activity)),
+            idle: Mutex::default(),
         }
     }
 
@@ -78,12 +93,13 @@
         req: LinkRequest<'_>,
     ) -> Result<(StatusCode, HeaderMap, Bytes), LinkError> {
         let timeout = req.timeout;
-        let pool = self.pool.lock().clone();
-        match tokio::time::timeout(timeout.into(), self.exchange(&pool, req)).await {
+        match tokio::time::timeout(timeout.into(), self.exchange(req)).await {
             Ok(result) => result,
             Err(_) => {
-                // Other pooled connections may have fallen silent for the same reason.
-                *self.pool.lock() = new_pool(self.activity);
+                // Other connections may have fallen silent for the same reason.
+                let mut idle = self.idle.lock();
+                idle.connections.clear();
+                idle.generation += 1;
                 Err(LinkError::NoAnswer(format!("silent for {timeout} ms")))
             }
         }
@@ -91,39 +107,93 @@
 
     async fn exchange(
         &self,
-        pool: &Pool,
         req: LinkRequest<'_>,
     ) -> Result<(StatusCode, HeaderMap, Bytes), LinkError> {
+        let mut message = self.message(req)?;
+        let generation = self.idle.lock().generation;
+        while let Some(mut connection) = self.take_idle() {
+            match connection.try_send_request(message).await {
+                Ok(res) => return self.read_answer(res, connection, generation).await,
+                // The peer has closed the connection before the request was written.
+                Err(mut err) => match err.take_message() {
+                    Some(unsent) => message = unsent,
+                    None => return Err(LinkError::NoAnswer(err.into_error().to_string())),
+                },
+            }
+        }
+        let mut connection = self.connect().await?;
+        match connection.try_send_request(message).await {
+            Ok(res) => self.read_answer(res, connection, generation).await,
+            Err(mut err) => Err(match err.take_message() {
+                Some(_) => LinkError::NotSent(err.into_error().to_string()),
+                None => LinkError::NoAnswer(err.into_error().to_string()),
+            }),
+        }
+    }
+
+    fn message(&self, req: LinkRequest<'_>) -> Result<Request<Full<Bytes>>, LinkError> {
         let mut builder = Request::builder()
             .method(req.method)
-            .uri(format!("http://{}{}", self.address, req.path));
+            .uri(req.path)
+            .header(HOST, &self.address);
         for (name, value) in req.headers {
+            let value = HeaderValue::from_str(value)
+                .map_err(|err| LinkError::NotSent(format!("header {name}: {err}")))?;
             builder = builder.header(*name, value);
         }
-        let message = builder
+        builder
             .body(Full::new(Bytes::from(req.body)))
-            .map_err(|err| LinkError::NotSent(err.to_string()))?;
-        let res = pool.request(message).await.map_err(|err| {
-            if err.is_connect() {
-                LinkError::NotSent(err.to_string())
-            } else {
-                LinkError::NoAnswer(err.to_string())
+            .map_err(|err| LinkError::NotSent(err.to_string()))
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle.lock();
+        while let Some(connection) = idle.connections.pop() {
+            if !connection.is_closed() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self) -> Result<Connection, LinkError> {
+        let not_sent = |err: String| LinkError::NotSent(err);
+        let connecting = TcpStream::connect(&self.address);
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| not_sent("connection timed out".to_string()))?
+            .map_err(|err| not_sent(err.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|err| not_sent(err.to_string()))?;
+        let (sender, connection) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|err| not_sent(err.to_string()))?;
+        let address = self.address.clone();
+        tokio::spawn(self.activity.measure(async move {
+            // The call that uses the connection reports the error as well.
+            if let Err(err) = connection.await {
+                tracing::debug!(address, %err, "connection has failed");
             }
-        })?;
+        }));
+        Ok(sender)
+    }
+
+    async fn read_answer(
+        &self,
+        res: Response<Incoming>,
+        connection: Connection,
+        generation: u64,
+    ) -> Result<(StatusCode, HeaderMap, Bytes), LinkError> {
         let (head, body) = res.into_parts();
         let body = Limited::new(body, MAX_ANSWER_BYTES)
             .collect()
             .await
             .map_err(|err| LinkError::NoAnswer(err.to_string()))?;
+        let mut idle = self.idle.lock();
+        if idle.generation == generation && idle.connections.len() < MAX_IDLE {
+            idle.connections.push(connection);
+        }
         Ok((head.status, head.headers, body.to_bytes()))
     }
 }
-
-fn new_pool(activity: Activity) -> Pool {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    Client::builder(MeasuredExecutor(activity))
-        .pool_max_idle_per_host(MAX_IDLE)
-        .build(connector)
-}
