Saturate the objective and the occurrences of a job

A job with an estimate, a factor or a schedule at the limit of its type overflowed the time of its objective or of its occurrences: the debug build ended the term of each leader that loaded the job, the release build wrapped to a wrong time. The products and sums now saturate.

figures_of_a_job_do_not_overflow failed before ("attempt to add with overflow" in Job::new) and passes.

--- a/src/model/millis.rs
+++ b/src/model/millis.rs
@@ -25,9 +25,9 @@
         self.saturating_sub(earlier)
     }
 
-    /// Multiplies by `permille` thousandths, rounding up.
+    /// Multiplies by `permille` thousandths, rounding up; saturates at the limit of the product.
     pub const fn scale_permille(self, permille: u64) -> Self {
-        Self((self.0 * permille).div_ceil(1000))
+        Self(self.0.saturating_mul(permille).div_ceil(1000))
     }
 }
 
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -99,7 +99,8 @@
             let Some(repeat) = &spec.repeat else {
                 return now;
             };
-            let at = repeat.first.0 + u64::from(occurrence) * repeat.interval.0;
+            let offset = repeat.interval.0.saturating_mul(occurrence.into());
+            let at = repeat.first.0.saturating_add(offset);
             // An occurrence in the past is due immediately.
             now + Millis(at.saturating_sub(wall.0))
         };
