Take no worker from an entry with figures out of range

Another writer may leave an entry with a capacity of u64::MAX or 1.7e308, without a capacity, or with port 0. The decoder cut such figures to the largest integer, and sums over the fleet overflowed: each leader ended its term again and again in the debug build, and in the release build the sum wrapped. Such an entry now names no worker.

odd_entries_name_no_worker failed before (the entry with u64::MAX was taken) and passes.

--- a/src/platform/worker_entry.rs
+++ b/src/platform/worker_entry.rs
@@ -12,7 +12,6 @@
     service: String,
     address: String,
     state: String,
-    #[serde(default)]
     capacity: Capacity,
     /// Kind of the worker and its rack.
     #[serde(default)]
@@ -22,7 +21,8 @@
     born: u64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Capacity {
     /// CPU in thousandths of a core.
@@ -31,6 +31,25 @@
     gpu: f64,
 }
 
+/// Largest CPU capacity of a worker: a million cores, in thousandths of a core.
+const MAX_CPU: f64 = 1e9;
+
+/// Largest memory of a worker, in MiB.
+const MAX_MEMORY: f64 = 1e12;
+
+/// Largest number of accelerators of a worker.
+const MAX_ACCELERATORS: f64 = 1e6;
+
+impl Capacity {
+    /// Returns whether a worker can offer these figures; others would overflow sums over the fleet.
+    fn is_plausible(&self) -> bool {
+        (0.0..=MAX_CPU).contains(&self.cpu)
+            && (0.0..=MAX_MEMORY).contains(&self.mem_mb)
+            && (0.0..=MAX_ACCELERATORS).contains(&self.gpu)
+    }
+}
+
+/// Decodes an entry; an error means that it names no worker to use.
 pub(super) fn decode(id: WorkerId, value: &[u8]) -> Result<WorkerEntry, String> {
     let entry: WireWorkerEntry = serde_json::from_slice(value).map_err(|err| err.to_string())?;
     let draining = match entry.state.as_str() {
@@ -38,10 +57,16 @@
         "draining" => true,
         other => return Err(format!("unknown state {other:?}")),
     };
-    entry
+    let address: std::net::SocketAddr = entry
         .address
-        .parse::<std::net::SocketAddr>()
+        .parse()
         .map_err(|err| format!("address {:?}: {err}", entry.address))?;
+    if address.port() == 0 {
+        return Err(format!("address {:?} has no port", entry.address));
+    }
+    if !entry.capacity.is_plausible() {
+        return Err(format!("capacity {:?} is out of range", entry.capacity));
+    }
     Ok(WorkerEntry {
         id,
         incarnation: entry.born,
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -73,6 +73,19 @@
     ])
 }
 
+/// Guards against an odd entry that is taken for a worker: its figures overflow sums over the fleet
+/// and end the term of each leader, or make it the cheapest worker.
+#[test]
+fn odd_entries_name_no_worker() {
+    let decode = |value: &Value| JsonFormat.worker("servers/i-9", value.to_string().as_bytes());
+
+    for (name, value) in odd_entries() {
+        let decoded = decode(&value);
+        assert!(decoded.is_err(), "{name}: {decoded:?}");
+    }
+    assert!(decode(&entry()).is_ok());
+}
+
 /// Guards against a leader that ends when it computes the objective of a job with figures at the
 /// limit of their type, or the time of its last occurrence.
 #[test]
