Read on beside entries with odd keys, values and starts

Keys were put into the query of a read as they are. A key with a space or a non-ASCII letter made the next page an invalid request, one with # or & made it begin again at the same place, so that no leader could load its state: a job did not start within 30 s. A value that is not base64 failed the whole page or watch. Keys are now percent-encoded, a value that cannot be decoded is taken as empty, which no reader accepts, and a read whose pages do not advance is given up.

An invalid entry that replaces a valid one kept the worker for a leader that knew it, but not for the next one; it now names no worker for either. An entry with a start of the worker in the future outranked the worker's own reports for ever: its runs were freed and started again. A start more than a minute ahead of the wall clock is invalid. Both are logged.

jobs_complete_beside_odd_entries failed before (not within 30 s) and passes.

--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -8,11 +8,15 @@
 use super::ports::{Change, Item};
 use super::shared::Shared;
 use crate::prelude::*;
-use crate::scheduler::{JobRecord, JobSpec, Scheduler};
+use crate::scheduler::{JobRecord, JobSpec, Scheduler, WorkerEntry};
 
 /// Failed reads of one page after which a load is given up.
 const MAX_FAILURES: usize = 8;
 
+/// Most by which the wall clocks of a worker and this VM differ. A worker that claims a later start
+/// would outrank its own reports for as long as the start lies ahead.
+const MAX_CLOCK_ERROR: Millis = Millis(60_000);
+
 /// Loads jobs, records and workers. Returns the revisions from which to watch jobs and workers.
 pub(super) async fn load_state(leader: &Arc<Leader>) -> Option<(u64, u64)> {
     let (records, _) = read_all(&leader.shared, RECORDS).await?;
@@ -118,36 +122,49 @@
     }
 }
 
-/// Passes a change of a worker entry to the scheduler. Returns the worker if the entry is valid.
+/// Passes a change of a worker entry to the scheduler. Returns the worker if the entry is valid. An
+/// invalid entry names no worker to use, also if it has replaced a valid one.
 pub(super) fn apply_worker(
     shared: &Shared,
     sched: &mut Scheduler,
     change: &Change,
     now: Millis,
 ) -> Option<WorkerId> {
-    match change {
-        Change::Put(item) => match shared.platform_format.worker(&item.key, &item.value) {
+    let key = match change {
+        Change::Put(item) => match decode_worker(shared, item) {
             Ok(entry) => {
                 let id = entry.id.clone();
                 sched.set_entry(entry, now);
                 return Some(id);
             }
             Err(err) => {
-                tracing::debug!(key = item.key, revision = item.revision, %err, "worker entry is invalid; it is ignored");
+                tracing::warn!(
+                    key = item.key,
+                    revision = item.revision,
+                    err,
+                    "worker entry is invalid"
+                );
+                &item.key
             }
         },
-        Change::Removed(key) => {
-            let id = key
-                .strip_prefix(shared.platform_format.workers_prefix())
-                .and_then(|id| id.parse().ok());
-            if let Some(id) = id {
-                sched.remove_entry(&id);
-            }
-        }
+        Change::Removed(key) => key,
+    };
+    let prefix = shared.platform_format.workers_prefix();
+    if let Some(id) = key.strip_prefix(prefix).and_then(|id| id.parse().ok()) {
+        sched.remove_entry(&id);
     }
     None
 }
 
+fn decode_worker(shared: &Shared, item: &Item) -> Result<WorkerEntry, String> {
+    let entry = shared.platform_format.worker(&item.key, &item.value)?;
+    let latest = shared.clock.wall().0.saturating_add(MAX_CLOCK_ERROR.0);
+    if entry.incarnation > latest {
+        return Err(format!("start {} lies in the future", entry.incarnation));
+    }
+    Ok(entry)
+}
+
 /// Reads all pages under a prefix. Also returns the revision of the first page; a watch from there
 /// shows the changes that were made between the pages.
 async fn read_all(shared: &Shared, prefix: &str) -> Option<(Vec<Item>, u64)> {
@@ -175,7 +192,16 @@
         let last = page.items.last().map(|item| item.key.clone());
         items.extend(page.items);
         match last {
-            Some(last) if page.truncated => after = last,
+            Some(last) if page.truncated && last > after => after = last,
+            Some(last) if page.truncated => {
+                tracing::error!(
+                    prefix,
+                    after,
+                    last,
+                    "pages do not advance; the read is given up"
+                );
+                return None;
+            }
             _ => return Some((items, at)),
         }
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,6 +2,7 @@
 
 use async_trait::async_trait;
 use http::{Method, StatusCode};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use serde::de::DeserializeOwned;
 
 use super::wire::{
@@ -72,18 +73,41 @@
     serde_json::from_slice(body).map_err(|err| StoreError::Invalid(err.to_string()))
 }
 
-fn decode_item(wire: WireItem) -> Result<Item, StoreError> {
-    Ok(Item {
-        value: decode_value(&wire.value).map_err(StoreError::Invalid)?,
+/// Characters that a key in a query keeps. Other writers may use any in the keys under their
+/// prefixes.
+const QUERY_KEY: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'/')
+    .remove(b'-')
+    .remove(b'_')
+    .remove(b'.');
+
+fn encode_query(key: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(key, QUERY_KEY)
+}
+
+/// Decodes an item. A value that cannot be decoded is taken as empty, which no reader accepts: it
+/// must not keep the other items of a page or watch from being read.
+fn decode_item(wire: WireItem) -> Item {
+    let value = decode_value(&wire.value).unwrap_or_else(|err| {
+        tracing::warn!(
+            key = wire.key,
+            revision = wire.rev,
+            err,
+            "value of an item cannot be decoded; it is taken as empty"
+        );
+        Vec::new()
+    });
+    Item {
+        value,
         key: wire.key,
         revision: wire.rev,
-    })
+    }
 }
 
 #[async_trait]
 impl StateStore for KvClient {
     async fn get(&self, key: &str, timeout: Millis) -> Result<(Option<Item>, u64), StoreError> {
-        let path = format!("/kv-key?key={key}");
+        let path = format!("/kv-key?key={}", encode_query(key));
         let (status, body) = self.call(Method::GET, &path, Vec::new(), timeout).await?;
         if status == StatusCode::NOT_FOUND {
             let at = serde_json::from_slice::<WireItem>(&body).map_or(0, |wire| wire.at);
@@ -91,25 +115,20 @@
         }
         let wire: WireItem = parse(status, &body)?;
         let at = wire.at;
-        Ok((Some(decode_item(wire)?), at))
+        Ok((Some(decode_item(wire)), at))
     }
 
     async fn page(&self, prefix: &str, after: &str) -> Result<Page, StoreError> {
-        let path = if after.is_empty() {
-            format!("/kv-range?prefix={prefix}")
-        } else {
-            format!("/kv-range?prefix={prefix}&after={after}")
-        };
+        let mut path = format!("/kv-range?prefix={}", encode_query(prefix));
+        if !after.is_empty() {
+            path.push_str(&format!("&after={}", encode_query(after)));
+        }
         let (status, body) = self
             .call(Method::GET, &path, Vec::new(), READ_TIMEOUT)
             .await?;
         let wire: WirePage = parse(status, &body)?;
         Ok(Page {
-            items: wire
-                .items
-                .into_iter()
-                .map(decode_item)
-                .collect::<Result<_, _>>()?,
+            items: wire.items.into_iter().map(decode_item).collect(),
             truncated: wire.truncated,
             at: wire.at,
         })
@@ -121,6 +140,7 @@
         after: u64,
         wait: Millis,
     ) -> Result<WatchResponse, StoreError> {
+        let prefix = encode_query(prefix);
         let path = format!("/kv-watch?prefix={prefix}&after={after}&waitMs={wait}");
         let (status, body) = self
             .call(Method::GET, &path, Vec::new(), wait + WATCH_MARGIN)
@@ -132,14 +152,11 @@
         let changes = wire
             .events
             .into_iter()
-            .map(|event| {
-                Ok(if event.deleted {
-                    Change::Removed(event.key)
-                } else {
-                    Change::Put(decode_item(event)?)
-                })
+            .map(|event| match event.deleted {
+                true => Change::Removed(event.key),
+                false => Change::Put(decode_item(event)),
             })
-            .collect::<Result<_, StoreError>>()?;
+            .collect();
         Ok(WatchResponse::Changes(changes, wire.at))
     }
 
@@ -168,9 +185,7 @@
             StatusCode::PRECONDITION_FAILED => {
                 let wire: WirePage = parse(status, &body)?;
                 let found = wire.items.into_iter().filter(|found| found.rev > 0);
-                Ok(TxnOutcome::Conflict(
-                    found.map(decode_item).collect::<Result<_, _>>()?,
-                ))
+                Ok(TxnOutcome::Conflict(found.map(decode_item).collect()))
             }
             _ => Ok(TxnOutcome::Done(parse::<WireRev>(status, &body)?.rev)),
         }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -107,3 +107,45 @@
     assert!(sched.view(&id("odd")).is_some());
 }
 
+/// Guards against daemons that end, stop following the workers, or never finish reading them, while
+/// odd entries lie between theirs; also after a change of the leader, which reads all of them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_complete_beside_odd_entries() {
+    let mut site = Site::start("odd", 2, 2).await;
+    for (name, value) in odd_entries() {
+        site.store.put(&format!("servers/a-{name}"), &value);
+    }
+    for key in [
+        "servers/b c",
+        "servers/d#e",
+        "servers/f&after=x",
+        "servers/g%2",
+        "servers/ü",
+    ] {
+        site.store.put(key, &entry());
+    }
+    site.store.put_text("servers/h", "no base64!");
+    site.store
+        .put(&format!("servers/{}", "i".repeat(150)), &entry());
+
+    let first = site
+        .submit(0, "00000000000000c1", &one_step_job(6, 200))
+        .await;
+    site.wait_for_state(1, "00000000000000c1", "completed")
+        .await;
+    site.store.remove("sapphirecroft/leader");
+    let second = site
+        .submit(1, "00000000000000c2", &one_step_job(6, 200))
+        .await;
+    site.wait_for_state(0, "00000000000000c2", "completed")
+        .await;
+
+    assert_eq!((first, second), (200, 200));
+    assert!(
+        !site
+            .daemons
+            .iter_mut()
+            .any(|daemon| daemon.restart_if_exited())
+    );
+}
+
--- a/tests/platform_support/store.rs
+++ b/tests/platform_support/store.rs
@@ -9,6 +9,7 @@
 use base64::engine::general_purpose::STANDARD;
 use http::StatusCode;
 use parking_lot::Mutex;
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 
 use super::{JsonResponse, serve};
@@ -63,6 +64,11 @@
         self.state.lock().put(key, value, 0);
     }
 
+    /// Writes an item whose value is not base64 text.
+    pub fn put_text(&self, key: &str, value: &str) {
+        self.state.lock().put(key, value.to_string(), 0);
+    }
+
     /// Writes an item in place of a worker, unless the store is down.
     pub fn put_if_up(&self, key: &str, value: &Value) {
         if !self.state.lock().down {
@@ -208,7 +214,7 @@
             .split('&')
             .filter_map(|pair| pair.split_once('='))
             .find(|(key, _)| *key == name)
-            .map(|(_, value)| value.to_string())
+            .map(|(_, value)| percent_decode_str(value).decode_utf8_lossy().into_owned())
             .unwrap_or_default()
     };
     let number = |name: &str| param(name).parse::<u64>().unwrap_or(0);
