--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -149,3 +149,26 @@
     );
 }
 
+/// Guards against runs that start again beside themselves because another writer has replaced the
+/// entry of their worker, with a start of the worker that lies in the future.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_replaced_entry_does_not_end_the_runs_of_its_worker() {
+    let site = Site::start("replaced", 2, 1).await;
+    site.submit(0, "00000000000000c3", &one_step_job(8, 2500))
+        .await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+
+    for worker in &site.workers {
+        let mut odd = worker.entry(worker.addr);
+        odd["born"] = json!(FAR_FUTURE_MS);
+        site.store.put(&format!("servers/{}", worker.id), &odd);
+    }
+    site.wait_for_state(0, "00000000000000c3", "completed")
+        .await;
+
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for (task, _) in site.starts() {
+        *runs.entry(task).or_default() += 1;
+    }
+    assert!(runs.values().all(|count| *count == 1), "{runs:?}");
+}
