Look only at the unsent starts of a job when its record is written

Each write of a record looked up all placed tasks of the job, up to 40 workers and runs, to find the starts that waited for it. A job now lists them. "state loaded" tells the processor time of the load by activity.

--- a/src/entry/leader_load.rs
+++ b/src/entry/leader_load.rs
@@ -57,7 +57,7 @@
 }
 
 /// Returns the time spent between two measurements: name and milliseconds of each activity.
-fn busy_text(before: &[Duration], now: &[Duration]) -> String {
+pub(super) fn busy_text(before: &[Duration], now: &[Duration]) -> String {
     let spent = before.iter().zip(now).zip(Activity::ALL);
     let parts = spent.map(|((before, now), activity)| {
         let millis = now.saturating_sub(*before).as_millis();
--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -10,7 +10,7 @@
 use super::election::{STORE_OUTAGE_TOLERANCE, remove_leader_key};
 use super::keys::LEADER;
 use super::leader::Leader;
-use super::leader_load::log_leader_load;
+use super::leader_load::{busy_text, log_leader_load};
 use super::load::load_state;
 use super::maintenance::{log_queue_loads, remove_outdated_jobs, save_interference, tick};
 use super::ports::{Change, TxnOutcome, WatchResponse};
@@ -47,6 +47,7 @@
     leader.extend(valid_until);
     shared.metrics.leaderships.inc();
     tracing::info!(fence, "leadership taken");
+    let busy_before = Activity::ALL.map(Activity::total);
     let mut tasks = JoinSet::new();
     tasks.spawn(Activity::Lease.measure(renew_lease(leader.clone(), lease, ttl)));
     tasks.spawn(Activity::Lease.measure(watch_key(leader.clone())));
@@ -57,7 +58,16 @@
     if let Some((intake_at, workers_at)) = loaded {
         let (jobs, workers, runs) = leader.sched.lock().summary();
         let took = shared.clock.now().since(started_at);
-        tracing::info!(fence, jobs, workers, runs, took_ms = took.0, "state loaded");
+        let busy = busy_text(&busy_before, &Activity::ALL.map(Activity::total));
+        tracing::info!(
+            fence,
+            jobs,
+            workers,
+            runs,
+            took_ms = took.0,
+            busy_ms = busy,
+            "state loaded"
+        );
         // The configuration may have changed in the meantime.
         if let Some(queues) = shared.queues.read().clone() {
             leader.sched.lock().set_queues(queues);
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -117,25 +117,31 @@
     }
 
     fn send_durable_starts(&mut self, id: &JobId, now: Millis) {
-        let Some(job) = self.jobs.get(id) else {
+        let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let durable = job.durable_version;
-        let mut planned: Vec<(WorkerId, TaskKey)> = Vec::new();
-        for (instance, found) in job.instances.iter().enumerate() {
-            for (index, task) in found.tasks.iter().enumerate() {
-                let Some(place) = &task.place else { continue };
-                let Some(worker) = self.workers.get(&place.worker) else {
-                    continue;
-                };
-                let key = job.key(instance, index);
-                let state = worker.runs.get(&key).map(|run| run.state);
-                if matches!(state, Some(RunState::Planned { version }) if version <= durable) {
-                    planned.push((place.worker.clone(), key));
-                }
+        let mut ready: Vec<(WorkerId, TaskKey)> = Vec::new();
+        let mut unsent = std::mem::take(&mut job.unsent);
+        unsent.retain(|&(instance, index)| {
+            let Some(place) = &job.instances[instance].tasks[index].place else {
+                return false;
+            };
+            let key = job.key(instance, index);
+            let run = self
+                .workers
+                .get(&place.worker)
+                .and_then(|worker| worker.runs.get(&key));
+            let Some(RunState::Planned { version }) = run.map(|run| run.state) else {
+                return false;
+            };
+            let waits = version > job.durable_version;
+            if !waits {
+                ready.push((place.worker.clone(), key));
             }
-        }
-        for (worker, key) in planned {
+            waits
+        });
+        job.unsent = unsent;
+        for (worker, key) in ready {
             self.send_start(&worker, &key, now);
         }
     }
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -91,6 +91,9 @@
     pub(super) idle_since: Option<Millis>,
     /// What planning needs to know of the tasks.
     pub(super) waits: Waits,
+    /// Tasks, as instance and index, with a run whose start waits for the record. Some of them may
+    /// have lost their run since.
+    pub(super) unsent: Vec<(usize, usize)>,
 }
 
 impl Job {
@@ -139,6 +142,7 @@
             write_in_flight: false,
             idle_since: None,
             waits: Waits::default(),
+            unsent: Vec::new(),
         }
     }
 
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -200,6 +200,9 @@
             if step.max_per_worker.is_some() {
                 *tasks_per_worker.entry(worker.clone()).or_default() += 1;
             }
+            if !job.unsent.contains(&(instance, index)) {
+                job.unsent.push((instance, index));
+            }
             placed.push(PlacedMember {
                 worker,
                 key,
