Poll less often while the leader is short of processor time

Nothing bounded the work of a leader: with more ends than its processor bears, polls, reports and rounds queued behind each other, timers fired 60 ms late, and a start passes about ten turns of the event loop. The pause between two polls allowed 6,700 reads a second, several times what half a core bears beside everything else.

Planning takes at most a quarter of the processor: a round is followed by a pause of three times its length.

polls_are_rarer_while_timers_of_the_leader_are_late guards the rule.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -1,6 +1,6 @@
 //! Sends the commands of the scheduler, and runs the planner.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
 
@@ -13,16 +13,22 @@
 /// Shortest time between two planning rounds; ends and submissions that arrive together share one.
 const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Pause after a planning round, as a multiple of the time that it took: planning takes at most a
+/// quarter of the processor.
+const PLAN_PAUSE_FACTOR: u32 = 3;
+
 /// Runs a planning round whenever something has changed.
 pub(super) async fn run_planner(leader: Arc<Leader>) {
     loop {
         leader.planner_wake.notified().await;
+        let began = Instant::now();
         {
             let now = leader.shared.clock.now();
             leader.sched.lock().plan(now);
         }
+        let took = began.elapsed();
         leader.send_commands();
-        tokio::time::sleep(MIN_PLAN_INTERVAL).await;
+        tokio::time::sleep(MIN_PLAN_INTERVAL.max(took * PLAN_PAUSE_FACTOR)).await;
     }
 }
 
--- a/src/entry/leader_load.rs
+++ b/src/entry/leader_load.rs
@@ -1,4 +1,4 @@
-//! How busy a leader is, and with what.
+//! How busy a leader is, and with what; regulates its polls.
 
 use std::time::Duration;
 
@@ -21,9 +21,9 @@
         let total = Activity::ALL.map(Activity::total);
         let busy = busy_text(&before, &total);
         before = total;
-        let ((jobs, _, runs), counts) = {
+        let ((jobs, _, runs), counts, poll_gap) = {
             let sched = leader.sched.lock();
-            (sched.summary(), sched.plan_counts())
+            (sched.summary(), sched.plan_counts(), sched.poll_gap())
         };
         let rounds = counts.rounds - counts_before.rounds;
         let searches = counts.searches - counts_before.searches;
@@ -35,6 +35,7 @@
             runs,
             rounds,
             searches,
+            poll_gap_ms = poll_gap.0,
             loop_delay_ms = longest_delay.as_millis(),
             busy_ms = busy,
             "leader load"
@@ -42,7 +43,8 @@
     }
 }
 
-/// Measures for one log interval how late timers fire; returns the longest delay.
+/// Measures for one log interval how late timers fire, by which the polls are regulated; returns the
+/// longest delay.
 async fn measure_loop_delay(leader: &Leader) -> Duration {
     let mut longest = Duration::ZERO;
     for _ in 0..LOG_INTERVAL.as_millis() / PROBE_INTERVAL.as_millis() {
@@ -51,6 +53,7 @@
         let delay = due.elapsed();
         let histogram = &leader.shared.metrics.loop_delay_seconds;
         histogram.observe(delay.as_secs_f64());
+        leader.sched.lock().record_timer_delay(delay.into());
         longest = longest.max(delay);
     }
     longest
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -19,6 +19,7 @@
 mod order;
 mod plan;
 mod poll;
+mod poll_gap;
 mod preempt;
 mod queue;
 mod queue_load;
--- a/src/scheduler/poll.rs
+++ b/src/scheduler/poll.rs
@@ -13,24 +13,26 @@
 /// Pause between two polls while completions wait for the store.
 const UNACKNOWLEDGED_PAUSE: Millis = Millis(200);
 
-/// Minimum time between two polls of a worker, so that simultaneous completions share a poll.
-const MIN_POLL_GAP: Millis = Millis(20);
-
-/// Part of the minimum gap for each worker of the fleet, in microseconds. It keeps the polls of all
-/// workers below about 6,700 a second, which a leader on half a core can process.
-const POLL_GAP_PER_WORKER_US: u64 = 150;
-
 /// Pause before the next poll of a worker without runs.
 const IDLE_PAUSE: Millis = Millis(3000);
 
 impl Scheduler {
+    /// Takes a measurement of the delay of the leader's timers into account: while it is long,
+    /// workers are polled less often.
+    pub fn record_timer_delay(&mut self, delay: Millis) {
+        self.poll_gap.record_delay(delay);
+    }
+
+    /// Returns the present pause between two polls of a worker.
+    pub fn poll_gap(&self) -> Millis {
+        self.poll_gap.of_fleet(self.workers.len())
+    }
+
     /// Returns the next step of polling a worker.
     pub fn poll_plan(&mut self, id: &WorkerId, now: Millis) -> PollPlan {
         let lease = self.timing.run_lease;
         let fence = self.fence;
-        let poll_gap = MIN_POLL_GAP.max(Millis(
-            self.workers.len() as u64 * POLL_GAP_PER_WORKER_US / 1000,
-        ));
+        let poll_gap = self.poll_gap.of_fleet(self.workers.len());
         let Some(worker) = self.workers.get_mut(id) else {
             return PollPlan::Forget;
         };
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -7,6 +7,7 @@
 use super::crash_tracker::CrashTracker;
 use super::fleet::Fleet;
 use super::interference::Interference;
+use super::poll_gap::PollGap;
 use super::record_queue::RecordQueue;
 use super::round::Resume;
 use super::trial::TrialQueue;
@@ -64,6 +65,7 @@
     pub(super) may_start: bool,
     pub(super) counts: PlanCounts,
     pub(super) fleet: Fleet,
+    pub(super) poll_gap: PollGap,
 }
 
 /// What planning has cost so far.
@@ -100,6 +102,7 @@
             may_start: true,
             counts: PlanCounts::default(),
             fleet: Fleet::default(),
+            poll_gap: PollGap::default(),
         }
     }
 
--- a/tests/scheduler_cost.rs
+++ b/tests/scheduler_cost.rs
@@ -3,7 +3,7 @@
 mod scheduler_support;
 
 use sapphirecroft::prelude::*;
-use sapphirecroft::scheduler::{Repeat, Scheduler, StartResponse};
+use sapphirecroft::scheduler::{PollPlan, Repeat, Scheduler, StartResponse, WorkerReport};
 use scheduler_support::*;
 
 const WORKERS: usize = 40;
@@ -88,3 +88,30 @@
     let started = [900, 990, 1000, 1400, 1500].map(|now| started_at(&mut sched, now));
     assert_eq!(started, [0, 0, 1, 0, 1]);
 }
+
+/// Returns the pause after the report of a worker with a run.
+fn pause_after_report(sched: &mut Scheduler, now: Millis) -> Millis {
+    deliver_report(sched, &worker_id(1), 1, now, WorkerReport::default());
+    match sched.poll_plan(&worker_id(1), now) {
+        PollPlan::Pause(pause) => pause,
+        other => panic!("polls at once: {other:?}"),
+    }
+}
+
+/// Guards against a leader that is short of processor time and goes on polling as often as before,
+/// so that starts wait behind polls; and against polls that stay rare afterwards.
+#[test]
+fn polls_are_rarer_while_timers_of_the_leader_are_late() {
+    let mut sched = fleet();
+    let calm = pause_after_report(&mut sched, Millis(10));
+
+    (0..100).for_each(|_| sched.record_timer_delay(Millis(50)));
+    let busy = pause_after_report(&mut sched, Millis(500));
+    (0..1000).for_each(|_| sched.record_timer_delay(Millis(1)));
+    let later = pause_after_report(&mut sched, Millis(1000));
+
+    assert!(busy >= calm + Millis(200), "{calm} then {busy} ms");
+    // Ends must not wait for long, however busy the leader is.
+    assert!(busy <= Millis(500), "{busy} ms");
+    assert_eq!(later, calm);
+}
