--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -19,7 +19,11 @@
 
 /// Loads jobs, records and workers. Returns the revisions from which to watch jobs and workers.
 pub(super) async fn load_state(leader: &Arc<Leader>) -> Option<(u64, u64)> {
-    let (records, _) = read_all(&leader.shared, RECORDS).await?;
+    // Only the holder of the leader key writes records, so they do not change during both reads.
+    let shared = &leader.shared;
+    let (records, intake) = tokio::join!(read_all(shared, RECORDS), read_all(shared, INTAKE));
+    let (records, _) = records?;
+    let (items, intake_at) = intake?;
     let mut records_by_job = HashMap::new();
     for item in records {
         let Some(id) = record_id(&item.key) else {
@@ -34,7 +38,6 @@
             }
         }
     }
-    let (items, intake_at) = read_all(&leader.shared, INTAKE).await?;
     let now = leader.shared.clock.now();
     let wall = leader.shared.clock.wall();
     for item in &items {
