Pass over workers whose serving tasks leave a best-effort image no room

A waiting best-effort task computed its cost on every worker with free memory, 490 of them for each of 30 failed searches a round, since it reserves no CPU. The CPU up to which each worker may take an image is now computed once a round; it is rounded up, so the exact check still decides.

--- a/src/scheduler/candidates.rs
+++ b/src/scheduler/candidates.rs
@@ -78,9 +78,19 @@
             history,
             taken: None,
         };
+        // An overdue task may exceed the limits.
+        let is_limited = request.step.best_effort && !request.overdue;
+        let image = &request.step.image;
+        if is_limited {
+            self.fleet
+                .add_best_effort_limits(image, request.impact, &self.workers);
+        }
+        let limits = self.fleet.best_effort_limits(image).filter(|_| is_limited);
+        let need = request.step.need.cpu.0;
         let has_room = self.fleet.has_room(request.service, reservation);
         for ((position, worker), has_room) in self.workers.values().enumerate().zip(has_room) {
-            if has_room {
+            let is_over_limit = || limits.is_some_and(|limits| need > limits[position]);
+            if has_room && !is_over_limit() {
                 self.add_candidate(&mut found, position, worker, request, now);
             }
         }
--- a/src/scheduler/colocation.rs
+++ b/src/scheduler/colocation.rs
@@ -72,6 +72,29 @@
         self.capacity().cpu.0.saturating_sub(self.expected_cpu)
     }
 
+    /// Returns the CPU in millicores up to which the worker may take a best-effort task with this
+    /// impact; rounded up, so that a larger task is certain to be refused.
+    pub(super) fn best_effort_limit(&self, impact: &ImageImpact) -> u64 {
+        if self.over_target_since.is_some() {
+            return 0;
+        }
+        let idle = self.idle_cpu();
+        if self.serving_runs == 0 {
+            return idle;
+        }
+        let margins = self.margins.iter().flatten();
+        let limit = margins.fold(f64::INFINITY, |least, (index, margin)| {
+            let coefficient = impact.of(*index);
+            let most = match coefficient > 0.0 {
+                true => margin / coefficient * self.processors(),
+                false if *margin < 0.0 => 0.0,
+                false => f64::INFINITY,
+            };
+            least.min(most)
+        });
+        idle.min((limit.max(0.0).ceil() as u64).saturating_add(1))
+    }
+
     /// Returns the processors that the runs share, in millicores. A worker that offers less than
     /// before has as many processors as before.
     fn processors(&self) -> f64 {
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, HashSet};
 
 use super::Worker;
+use super::interference::ImageImpact;
 use crate::prelude::*;
 
 /// Service of a worker that takes no runs at present.
@@ -37,6 +38,16 @@
     services: Vec<String>,
     /// CPU that runs reserve and that workers offer, in millicores, by the index of the service.
     loads: Vec<(u64, u64)>,
+    /// Limits for the best-effort images that were searched for in this round.
+    best_effort: Vec<BestEffortLimits>,
+}
+
+/// CPU up to which each worker may take a best-effort task of one image, in millicores.
+#[derive(Debug)]
+struct BestEffortLimits {
+    image: String,
+    impact: Arc<ImageImpact>,
+    limits: Vec<u64>,
 }
 
 impl Fleet {
@@ -47,6 +58,7 @@
         }
         self.services.clear();
         self.loads.clear();
+        self.best_effort.clear();
         self.slots.clear();
         for worker in workers.values() {
             let slot = self.slot_of(worker, now);
@@ -81,7 +93,37 @@
     pub fn refresh_worker(&mut self, worker: &Worker, now: Millis) {
         if let Ok(position) = self.ids.binary_search(&worker.id) {
             self.slots[position] = self.slot_of(worker, now);
+            for known in &mut self.best_effort {
+                known.limits[position] = worker.best_effort_limit(&known.impact);
+            }
+        }
+    }
+
+    /// Computes the limits for a best-effort image, unless they are known.
+    pub fn add_best_effort_limits(
+        &mut self,
+        image: &str,
+        impact: &Arc<ImageImpact>,
+        workers: &BTreeMap<WorkerId, Worker>,
+    ) {
+        if self.best_effort.iter().any(|known| known.image == image) {
+            return;
         }
+        let limits = workers.values();
+        self.best_effort.push(BestEffortLimits {
+            image: image.to_string(),
+            impact: impact.clone(),
+            limits: limits
+                .map(|worker| worker.best_effort_limit(impact))
+                .collect(),
+        });
+    }
+
+    /// Returns the CPU up to which each worker in turn may take a best-effort task of an image, if
+    /// it has been computed.
+    pub fn best_effort_limits(&self, image: &str) -> Option<&[u64]> {
+        let known = self.best_effort.iter().find(|known| known.image == image);
+        known.map(|known| known.limits.as_slice())
     }
 
     /// Returns the id of the worker at a position.
--- a/src/scheduler/interference.rs
+++ b/src/scheduler/interference.rs
@@ -63,6 +63,7 @@
 }
 
 /// Coefficients of one best-effort image, by the index of the serving image.
+#[derive(Debug)]
 pub(super) struct ImageImpact {
     coefficients: Vec<f64>,
 }
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -130,7 +130,7 @@
             .iter()
             .map(|task| task.run)
             .max();
-        let impact = self.interference.impact(&step.image);
+        let impact = Arc::new(self.interference.impact(&step.image));
         let step_key = (job.id.clone(), instance);
         let advice = queue
             .advice
--- a/src/scheduler/selection.rs
+++ b/src/scheduler/selection.rs
@@ -74,7 +74,7 @@
     pub step: &'a StepSpec,
     pub service: &'a str,
     /// Impact of the task on serving tasks.
-    pub impact: &'a ImageImpact,
+    pub impact: &'a Arc<ImageImpact>,
     /// Number of tasks of the step on each worker, if that number is limited.
     pub tasks_per_worker: &'a HashMap<WorkerId, u32>,
     /// One more failure fails the job.
