Limit the pause after a planning round to 100 ms

The pause follows from the time that the round took on the steady clock. A VM that is halted during a round, as by a processor quota, would pause for three times as long again. loop_delay_ms of "leader load" is a number.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -13,6 +13,9 @@
 /// Shortest time between two planning rounds; ends and submissions that arrive together share one.
 const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Longest pause after a planning round, also if the VM was halted during it.
+const MAX_PLAN_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Pause after a planning round, as a multiple of the time that it took: planning takes at most a
 /// quarter of the processor.
 const PLAN_PAUSE_FACTOR: u32 = 3;
@@ -28,7 +31,8 @@
         }
         let took = began.elapsed();
         leader.send_commands();
-        tokio::time::sleep(MIN_PLAN_INTERVAL.max(took * PLAN_PAUSE_FACTOR)).await;
+        let pause = took * PLAN_PAUSE_FACTOR;
+        tokio::time::sleep(pause.clamp(MIN_PLAN_INTERVAL, MAX_PLAN_INTERVAL)).await;
     }
 }
 
--- a/src/entry/leader_load.rs
+++ b/src/entry/leader_load.rs
@@ -36,7 +36,7 @@
             rounds,
             searches,
             poll_gap_ms = poll_gap.0,
-            loop_delay_ms = longest_delay.as_millis(),
+            loop_delay_ms = Millis::from(longest_delay).0,
             busy_ms = busy,
             "leader load"
         );
