--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -180,6 +180,7 @@
         None
     }
 }
+
 impl Worker {
     /// Returns what the runs can give to a task of this priority.
     fn yields_to(&self, priority: u32) -> Yield {
