--- /dev/null
+++ b/review/standin/src/cases/mod.rs
@@ -0,0 +1,4 @@
+//! The cases; each returns whether the rule held, or `None` if it could not run.
+
+pub mod crashes;
+pub mod restarts;
