--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -1,4 +1,5 @@
 //! The cases; each returns whether the rule held, or `None` if it could not run.
 
 pub mod crashes;
+pub mod pending;
 pub mod restarts;
--- a/review/standin/src/cases/restarts.rs
+++ b/review/standin/src/cases/restarts.rs
@@ -37,6 +37,7 @@
     let plan = Plan {
         workers: WORKERS,
         daemons: 3,
+        special: 0,
         cpu: 8000,
         stop_timeout_ms: 900,
         stop_ms: 450,
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -24,7 +24,7 @@
     let args: Vec<String> = std::env::args().skip(1).collect();
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     match args.as_slice() {
-        ["worker", id, listen, store, cpu, stop, rack, log] => {
+        ["worker", id, listen, store, cpu, stop, kind, rack, log] => {
             worker::run(worker::Settings {
                 id: id.to_string(),
                 listen: listen.parse().expect("an address"),
@@ -32,7 +32,7 @@
                 store: store.parse().expect("an address"),
                 cpu: cpu.parse().expect("a number"),
                 stop: Duration::from_millis(stop.parse().expect("a number")),
-                rack: rack.to_string(),
+                labels: [kind.to_string(), rack.to_string()],
                 log: log.to_string(),
             });
             ExitCode::from(NOT_RUN)
@@ -43,6 +43,7 @@
             let held = match *name {
                 "restarts" => cases::restarts::run(record, trouble),
                 "crashes" => cases::crashes::run(record, trouble),
+                "pending" => cases::pending::run(record, trouble),
                 _ => None,
             };
             ExitCode::from(match held {
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -62,6 +62,8 @@
 pub struct Plan {
     pub workers: usize,
     pub daemons: usize,
+    /// The first workers are of kind `b`, the others of kind `a`.
+    pub special: usize,
     /// Capacity of a worker in thousandths of a core.
     pub cpu: u64,
     /// `stopTimeoutMs` of the deployment.
@@ -171,6 +173,7 @@
             self.store.addr.to_string(),
             plan.cpu.to_string(),
             plan.stop_ms.to_string(),
+            if at < plan.special { "b" } else { "a" }.to_string(),
             format!("r{}", at / 8),
             log.display().to_string(),
         ];
@@ -262,6 +265,15 @@
         status
     }
 
+    /// Returns the number of waiting jobs that a daemon answers, or the status of another answer.
+    pub fn pending(&self, daemon: usize) -> Result<u64, u16> {
+        let (status, body) = self.call(daemon, "GET", "", "");
+        match status {
+            200 => Ok(body.get("pending").number()),
+            status => Err(status),
+        }
+    }
+
     /// Returns the state of a job as a daemon answers it, or the status of another answer.
     pub fn state(&self, daemon: usize, id: &str) -> String {
         let (status, body) = self.call(daemon, "GET", id, "");
@@ -373,12 +385,17 @@
 
 /// Returns a job of one step, whose data lies on a rack.
 pub fn job(spec: &str, tasks: u64, cpu: u64, estimate_ms: u64, rack: &str) -> Value {
+    job_with(spec, tasks, cpu, estimate_ms, ("affinity", text(rack)))
+}
+
+/// Returns a job of one step with one more member.
+pub fn job_with(spec: &str, tasks: u64, cpu: u64, estimate_ms: u64, member: (&str, Value)) -> Value {
     let step = object([
         ("count", number(tasks)),
         ("cpu", number(cpu)),
         ("memMb", number(1000)),
         ("estimateMs", number(estimate_ms)),
-        ("affinity", text(rack)),
+        member,
     ]);
     object([("spec", text(spec)), ("steps", list([step]))])
 }
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -29,7 +29,8 @@
     pub cpu: u64,
     /// Time that a stop takes.
     pub stop: Duration,
-    pub rack: String,
+    /// Kind and rack.
+    pub labels: [String; 2],
     pub log: String,
 }
 
@@ -39,6 +40,7 @@
     /// Work is saved in steps.
     saves: bool,
     started_at: Instant,
+    work: Duration,
     is_stopping: bool,
 }
 
@@ -133,9 +135,11 @@
         let checkpoint = body.get("checkpointId").text().to_string();
         self.record(&format!("start {task} {run} {checkpoint}"));
         let now = Instant::now();
+        let work = Duration::from_millis(work);
         let started = Run {
             number: run,
-            ends_at: now + Duration::from_millis(work),
+            ends_at: now + work,
+            work,
             saves: spec.contains("saves"),
             started_at: now,
             is_stopping: false,
@@ -166,7 +170,7 @@
                 true => format!("{task}-{}", worked / 500),
                 false => String::new(),
             };
-            let percent = (worked / 20).min(99);
+            let percent = (worked * 100 / (run.work.as_millis() as u64).max(1)).min(99);
             list([text(task), number(run.number), text(saved), number(percent), number(0)])
         });
         object([
@@ -225,7 +229,7 @@
             ("seq", number(seq)),
             ("born", number(born as u64)),
             ("capacity", capacity),
-            ("labels", list([text("a"), text(settings.rack.clone())])),
+            ("labels", list(settings.labels.clone().map(text))),
         ]);
         let body = object([("id", text(settings.id.clone())), ("entry", entry)]);
         call(settings.store, "POST", "/standin-entry", &body.to_string(), HEARTBEAT);
