--- a/review/standin/src/base64.rs
+++ b/review/standin/src/base64.rs
@@ -11,23 +11,12 @@
         }
         for i in 0..4 {
             let letter = LETTERS[(group >> (18 - 6 * i) & 63) as usize];
-            encoded.push(if i <= chunk.len() { letter as char } else { '=' });
+            encoded.push(if i <= chunk.len() {
+                letter as char
+            } else {
+                '='
+            });
         }
     }
     encoded
 }
-
-pub fn decode(text: &str) -> Option<Vec<u8>> {
-    let mut decoded = Vec::new();
-    let (mut bits, mut count) = (0_u32, 0);
-    for byte in text.bytes().filter(|byte| *byte != b'=') {
-        let code = LETTERS.iter().position(|letter| *letter == byte)?;
-        bits = bits << 6 | code as u32;
-        count += 6;
-        if count >= 8 {
-            count -= 8;
-            decoded.push((bits >> count & 255) as u8);
-        }
-    }
-    Some(decoded)
-}
--- a/review/standin/src/cases/crashes.rs
+++ b/review/standin/src/cases/crashes.rs
@@ -1,21 +1,25 @@
-//! The workers on which one task runs crash one after the other.
+//! The workers on which a task that lasts runs crash one after the other.
 
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use crate::site::{Plan, Site, job};
+use crate::json::Value;
+use crate::site::{Plan, Site, job_with};
 
 const WORKERS: usize = 8;
 
-/// Crashes; each is of one of eight workers.
-const CRASHES: usize = 4;
+/// Crashes, each of one of eight workers.
+const CRASHES: usize = 3;
 
 /// Time from the start of the task to the crash of its worker.
-const BEFORE_CRASH: Duration = Duration::from_millis(1500);
+const BEFORE_CRASH: Duration = Duration::from_millis(3000);
 
 /// Time for which a crashed worker is down.
 const DOWN: Duration = Duration::from_secs(3);
 
+/// Time for which the job is observed after the last crash.
+const AFTER: Duration = Duration::from_secs(30);
+
 const ID: &str = "00000000000000c1";
 
 pub fn run(record: &Path, trouble: bool) -> Option<bool> {
@@ -29,21 +33,21 @@
         max_attempts: 3,
     };
     let mut site = Site::start(&plan, record)?;
-    if site.submit(0, ID, &job("work=4000", 1, 4000, 4000, "r0")) != 200 {
+    let body = job_with("lasts", 1, 4000, 400, ("longRunning", Value::Bool(true)));
+    if site.submit(0, ID, &body) != 200 {
         return None;
     }
-    let until = Instant::now() + Duration::from_secs(90);
-    let (mut crashes, mut back): (usize, Option<(Instant, usize)>) = (0, None);
+    let started = Instant::now();
+    let mut until = started + AFTER;
+    let mut crashes = 0;
+    let mut back: Option<(Instant, usize)> = None;
     let mut state = String::new();
-    while Instant::now() < until {
+    while Instant::now() < until && started.elapsed() < Duration::from_secs(100) {
         let present = site.state(1, ID);
         if present != state {
             site.note(&format!("job {ID} is shown as {present}"));
             state = present;
         }
-        if matches!(state.as_str(), "completed" | "failed" | "cancelled") {
-            break;
-        }
         if let Some((_, at)) = back.filter(|(at, _)| *at <= Instant::now()) {
             site.workers[at].restart();
             let id = site.workers[at].id.clone();
@@ -53,11 +57,18 @@
         let running = site.runs().into_iter().find(|run| run.ended.is_none());
         if let Some(run) = running.filter(|_| trouble && back.is_none() && crashes < CRASHES) {
             std::thread::sleep(BEFORE_CRASH);
-            let at = site.workers.iter().position(|worker| worker.id == run.worker)?;
+            let at = site
+                .workers
+                .iter()
+                .position(|worker| worker.id == run.worker)?;
             site.workers[at].kill();
-            site.note(&format!("worker {} is killed with run {} of the task", run.worker, run.number));
+            site.note(&format!(
+                "worker {} is killed with run {} of the task",
+                run.worker, run.number
+            ));
             crashes += 1;
             back = Some((Instant::now() + DOWN, at));
+            until = Instant::now() + AFTER;
         }
         std::thread::sleep(Duration::from_millis(50));
     }
@@ -69,6 +80,9 @@
         site.note(&line);
     }
     let failed = runs.iter().filter(|run| run.how == "failed").count();
-    site.note(&format!("{crashes} crashes, {failed} ends `failed`, the job is shown as {state}"));
+    let running = runs.iter().any(|run| run.ended.is_none());
+    site.note(&format!(
+        "{crashes} crashes, {failed} ends `failed`; the job is shown as {state}, its task runs: {running}"
+    ));
     Some(!(state == "failed" && failed == 0))
 }
--- a/review/standin/src/cases/pending.rs
+++ b/review/standin/src/cases/pending.rs
@@ -38,7 +38,9 @@
     if trouble {
         site.workers[0].kill();
         let id = site.workers[0].id.clone();
-        site.note(&format!("worker {id}, the only one of kind b, is lost for good"));
+        site.note(&format!(
+            "worker {id}, the only one of kind b, is lost for good"
+        ));
         std::thread::sleep(GAP);
     }
     let body = job_with("work=60000", 1, 4000, 60_000, ("requires", text("b")));
@@ -53,7 +55,9 @@
             let begun = !site.runs().is_empty();
             let pending = site.pending(daemon);
             let state = site.state(daemon, ID);
-            site.note(&format!("daemon {daemon}: pending {pending:?}, the job is {state}, begun {begun}"));
+            site.note(&format!(
+                "daemon {daemon}: pending {pending:?}, the job is {state}, begun {begun}"
+            ));
             asked += 1;
             if !begun && site.runs().is_empty() && pending == Ok(0) {
                 wrong += 1;
@@ -61,9 +65,16 @@
         }
         std::thread::sleep(Duration::from_secs(2));
     }
-    for line in site.daemon_lines(&["\"start\"", "request answered", "withheld", "leadership taken"]) {
+    for line in site.daemon_lines(&[
+        "\"start\"",
+        "request answered",
+        "withheld",
+        "leadership taken",
+    ]) {
         site.note(&line);
     }
-    site.note(&format!("{wrong} of {asked} answers leave out the job, which has not begun"));
+    site.note(&format!(
+        "{wrong} of {asked} answers leave out the job, which has not begun"
+    ));
     Some(wrong == 0)
 }
--- a/review/standin/src/cases/restarts.rs
+++ b/review/standin/src/cases/restarts.rs
@@ -74,7 +74,11 @@
             }
             site.note(&format!("killed {}", killed.join(" ")));
         }
-        let back: Vec<usize> = down.iter().filter(|(at, _)| *at <= now).map(|(_, at)| *at).collect();
+        let back: Vec<usize> = down
+            .iter()
+            .filter(|(at, _)| *at <= now)
+            .map(|(_, at)| *at)
+            .collect();
         down.retain(|(at, _)| *at > now);
         for at in back {
             site.workers[at].restart();
@@ -97,9 +101,16 @@
     let mut by_task: BTreeMap<String, Vec<RunRecord>> = BTreeMap::new();
     let runs = site.runs();
     for run in &runs {
-        by_task.entry(run.task.clone()).or_default().push(run.clone());
+        by_task
+            .entry(run.task.clone())
+            .or_default()
+            .push(run.clone());
     }
-    site.note(&format!("{jobs} jobs accepted, {} tasks begun, {} runs", by_task.len(), runs.len()));
+    site.note(&format!(
+        "{jobs} jobs accepted, {} tasks begun, {} runs",
+        by_task.len(),
+        runs.len()
+    ));
     let mut broken = 0;
     for (task, mut runs) in by_task {
         runs.sort_by_key(|run| run.started);
@@ -108,7 +119,9 @@
             if end > pair[1].started + RECORD_DELAY_US {
                 broken += 1;
                 let overlap = end.saturating_sub(pair[1].started) / 1000;
-                site.note(&format!("TWICE: two runs of {task} at the same time for {overlap} ms"));
+                site.note(&format!(
+                    "TWICE: two runs of {task} at the same time for {overlap} ms"
+                ));
                 for run in pair {
                     site.note(&format!("    {run:?}"));
                 }
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -9,7 +9,6 @@
 use crate::json::Value;
 
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub query: HashMap<String, String>,
     pub headers: HashMap<String, String>,
@@ -40,8 +39,7 @@
             return None;
         }
         let mut words = line.split_whitespace();
-        let method = words.next()?.to_string();
-        let target = words.next()?;
+        let target = words.nth(1)?;
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let query = query.split('&').filter_map(|pair| pair.split_once('='));
         let query = query.map(|(name, value)| (name.to_string(), decode_percent(value)));
@@ -49,7 +47,6 @@
         let headers = read_headers(&mut reader)?;
         let body = read_body(&mut reader, &headers)?;
         let (status, body) = handler(Request {
-            method,
             path,
             query,
             headers,
--- a/review/standin/src/json.rs
+++ b/review/standin/src/json.rs
@@ -63,7 +63,11 @@
 
 pub fn object<const N: usize>(members: [(&str, Value); N]) -> Value {
     let members = members.into_iter();
-    Value::Object(members.map(|(name, value)| (name.to_string(), value)).collect())
+    Value::Object(
+        members
+            .map(|(name, value)| (name.to_string(), value))
+            .collect(),
+    )
 }
 
 pub fn text(text: impl Into<String>) -> Value {
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -43,6 +43,7 @@
             let held = match *name {
                 "restarts" => cases::restarts::run(record, trouble),
                 "crashes" => cases::crashes::run(record, trouble),
+                "dropped-route" => cases::dropped_route::run(record, trouble),
                 "pending" => cases::pending::run(record, trouble),
                 _ => None,
             };
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -26,7 +26,10 @@
 impl Worker {
     fn spawn(&mut self) {
         let program = std::env::current_exe().expect("own path");
-        let child = Command::new(program).args(&self.args).stdin(Stdio::piped()).spawn();
+        let child = Command::new(program)
+            .args(&self.args)
+            .stdin(Stdio::piped())
+            .spawn();
         self.child = Some(child.expect("a worker starts"));
     }
 
@@ -39,7 +42,10 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
-            let mut log = File::options().append(true).open(&self.log).expect("a record");
+            let mut log = File::options()
+                .append(true)
+                .open(&self.log)
+                .expect("a record");
             writeln!(log, "{} killed {}", now_us(), self.id).expect("a record");
         }
     }
@@ -91,9 +97,7 @@
         for worker in &mut self.workers {
             worker.kill();
         }
-        if std::env::var("KEEP").is_err() {
-            let _ = std::fs::remove_dir_all(&self.folder);
-        }
+        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
@@ -125,7 +129,7 @@
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         let store = Store::start();
-        store.put("op/config", &configuration(plan));
+        store.put("op/config", &configuration(plan, 1, &["r", "other"]));
         let mut site = Self {
             store,
             workers: Vec::new(),
@@ -142,7 +146,13 @@
         }
         let until = Instant::now() + Duration::from_secs(20);
         let is_ready = |daemon: &Daemon| {
-            let answer = call(daemon.readiness, "GET", "/readyz", "", Duration::from_secs(1));
+            let answer = call(
+                daemon.readiness,
+                "GET",
+                "/readyz",
+                "",
+                Duration::from_secs(1),
+            );
             answer.is_some_and(|(status, _)| status == 200)
         };
         while !site.daemons.iter().all(is_ready) {
@@ -289,18 +299,14 @@
         for at in 0..self.daemons.len() {
             let log = std::fs::read_to_string(self.folder.join(format!("daemon-{at}.log")));
             let log = log.unwrap_or_default();
-            let found = log.lines().filter(|line| texts.iter().any(|text| line.contains(text)));
+            let found = log
+                .lines()
+                .filter(|line| texts.iter().any(|text| line.contains(text)));
             lines.extend(found.map(|line| format!("daemon {at}: {line}")));
         }
         lines
     }
 
-    /// Returns the number of daemons that have ended by themselves.
-    pub fn ended_daemons(&mut self) -> usize {
-        let daemons = self.daemons.iter_mut();
-        daemons.filter_map(|daemon| daemon.child.try_wait().ok()?).count()
-    }
-
     /// Returns all runs that the workers have recorded.
     pub fn runs(&self) -> Vec<RunRecord> {
         self.workers.iter().flat_map(read_runs).collect()
@@ -313,7 +319,6 @@
     pub task: String,
     pub number: u64,
     pub worker: String,
-    pub checkpoint: String,
     pub started: u128,
     /// `None` while it runs.
     pub ended: Option<u128>,
@@ -330,11 +335,10 @@
             continue;
         };
         match words.get(1..) {
-            Some(["start", task, run, rest @ ..]) => runs.push(RunRecord {
+            Some(["start", task, run]) => runs.push(RunRecord {
                 task: task.to_string(),
                 number: run.parse().unwrap_or(0),
                 worker: worker.id.clone(),
-                checkpoint: rest.first().unwrap_or(&"").to_string(),
                 started: at,
                 ended: None,
                 how: "running".to_string(),
@@ -361,11 +365,31 @@
     runs
 }
 
-fn configuration(plan: &Plan) -> Value {
-    let route = object([
-        ("name", text("r")),
+/// Returns a configuration with these routes; the prefix of route `r` is `PREFIX`.
+pub fn configuration(plan: &Plan, version: u64, routes: &[&str]) -> Value {
+    let routes = routes.iter().map(|name| route(plan, name));
+    let service = object([
+        ("name", text("s")),
+        ("enforcesCapacity", Value::Bool(false)),
+    ]);
+    object([
+        ("version", number(version)),
+        ("routes", list(routes)),
+        ("services", list([service])),
+        ("limits", object([("maxBodyBytes", number(262_144))])),
+    ])
+}
+
+fn route(plan: &Plan, name: &str) -> Value {
+    let prefix = if name == "r" {
+        PREFIX.to_string()
+    } else {
+        format!("/{name}/")
+    };
+    object([
+        ("name", text(name)),
         ("host", text("host.example")),
-        ("prefix", text(PREFIX)),
+        ("prefix", text(prefix)),
         ("service", text("s")),
         ("kind", text("non_idempotent")),
         ("timeoutMs", number(3000)),
@@ -373,13 +397,6 @@
         ("priority", number(0)),
         ("maxAttempts", number(plan.max_attempts)),
         ("stretchFactor", Value::Number(1.5)),
-    ]);
-    let service = object([("name", text("s")), ("enforcesCapacity", Value::Bool(false))]);
-    object([
-        ("version", number(1)),
-        ("routes", list([route])),
-        ("services", list([service])),
-        ("limits", object([("maxBodyBytes", number(262_144))])),
     ])
 }
 
@@ -389,7 +406,13 @@
 }
 
 /// Returns a job of one step with one more member.
-pub fn job_with(spec: &str, tasks: u64, cpu: u64, estimate_ms: u64, member: (&str, Value)) -> Value {
+pub fn job_with(
+    spec: &str,
+    tasks: u64,
+    cpu: u64,
+    estimate_ms: u64,
+    member: (&str, Value),
+) -> Value {
     let step = object([
         ("count", number(tasks)),
         ("cpu", number(cpu)),
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -63,12 +63,8 @@
 
     /// Writes an item in place of the operator.
     pub fn put(&self, key: &str, value: &Value) {
-        self.lock().put(key, base64::encode(value.to_string().as_bytes()), 0);
-    }
-
-    /// Returns the decoded value of an item.
-    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
-        base64::decode(&self.lock().items.get(key)?.value)
+        self.lock()
+            .put(key, base64::encode(value.to_string().as_bytes()), 0);
     }
 
     fn handle(&self, req: &Request) -> Response {
@@ -179,7 +175,8 @@
         self.leases.retain(|_, (until, _)| *until > now);
         let leases = &self.leases;
         let by_lease = self.items.iter();
-        let by_lease = by_lease.filter(|(_, item)| item.lease != 0 && !leases.contains_key(&item.lease));
+        let by_lease =
+            by_lease.filter(|(_, item)| item.lease != 0 && !leases.contains_key(&item.lease));
         let mut expired: Vec<String> = by_lease.map(|(key, _)| key.clone()).collect();
         self.heartbeats.retain(|key, at| {
             let alive = now.duration_since(*at) < ENTRY_LIFETIME;
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -16,6 +16,9 @@
 /// Interval at which runs are ended and a waiting poll looks for ends.
 const STEP: Duration = Duration::from_millis(5);
 
+/// Time after which a task that lasts is at work.
+const STARTUP_MS: u64 = 400;
+
 /// Interval of heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(1100);
 
@@ -37,8 +40,8 @@
 struct Run {
     number: u64,
     ends_at: Instant,
-    /// Work is saved in steps.
-    saves: bool,
+    /// The task runs until it is stopped.
+    lasts: bool,
     started_at: Instant,
     work: Duration,
     is_stopping: bool,
@@ -79,7 +82,13 @@
         };
         self.record(&format!("end {task} {} {how}", run.number));
         self.number += 1;
-        let row = [number(self.number), text(task), number(run.number), text(how), text("")];
+        let row = [
+            number(self.number),
+            text(task),
+            number(run.number),
+            text(how),
+            text(""),
+        ];
         self.ended.push((self.number, list(row)));
     }
 
@@ -111,7 +120,9 @@
     }
 
     fn extend(&mut self, deadline: u64) {
-        self.lease = self.lease.max(deadline.min(self.clock() + LONGEST_LEASE_MS));
+        self.lease = self
+            .lease
+            .max(deadline.min(self.clock() + LONGEST_LEASE_MS));
     }
 
     fn start(&mut self, body: &Value) -> Response {
@@ -122,7 +133,11 @@
             return self.refuse("late");
         }
         self.extend(deadline);
-        if self.runs.get(&task).is_some_and(|known| known.number == run) {
+        if self
+            .runs
+            .get(&task)
+            .is_some_and(|known| known.number == run)
+        {
             return self.answer(200);
         }
         if self.last_runs.get(&task).is_some_and(|last| *last >= run) {
@@ -131,16 +146,22 @@
         self.last_runs.insert(task.clone(), run);
         let spec = body.get("spec").text();
         let figure = |name: &str| spec.split(' ').find_map(|word| word.strip_prefix(name));
-        let work = figure("work=").and_then(|figure| figure.parse().ok()).unwrap_or(400);
-        let checkpoint = body.get("checkpointId").text().to_string();
-        self.record(&format!("start {task} {run} {checkpoint}"));
+        let lasting = if spec.contains("lasts") {
+            3_600_000
+        } else {
+            400
+        };
+        let work = figure("work=")
+            .and_then(|figure| figure.parse().ok())
+            .unwrap_or(lasting);
+        self.record(&format!("start {task} {run}"));
         let now = Instant::now();
         let work = Duration::from_millis(work);
         let started = Run {
             number: run,
             ends_at: now + work,
             work,
-            saves: spec.contains("saves"),
+            lasts: spec.contains("lasts"),
             started_at: now,
             is_stopping: false,
         };
@@ -166,18 +187,28 @@
     fn lists(&self) -> Value {
         let running = self.runs.iter().map(|(task, run)| {
             let worked = run.started_at.elapsed().as_millis() as u64;
-            let saved = match run.saves {
-                true => format!("{task}-{}", worked / 500),
-                false => String::new(),
+            // A task that lasts is at work after a short startup.
+            let percent = if run.lasts && worked >= STARTUP_MS {
+                100
+            } else {
+                (worked * 100 / (run.work.as_millis() as u64).max(1)).min(99)
             };
-            let percent = (worked * 100 / (run.work.as_millis() as u64).max(1)).min(99);
-            list([text(task), number(run.number), text(saved), number(percent), number(0)])
+            list([
+                text(task),
+                number(run.number),
+                text(""),
+                number(percent),
+                number(0),
+            ])
         });
         object([
             ("clockMs", number(self.clock())),
             ("born", number(self.born)),
             ("runningCount", list(running)),
-            ("ended", list(self.ended.iter().map(|(_, row)| row.clone()).take(500))),
+            (
+                "ended",
+                list(self.ended.iter().map(|(_, row)| row.clone()).take(500)),
+            ),
         ])
     }
 }
@@ -194,9 +225,16 @@
         last_runs: BTreeMap::new(),
         ended: Vec::new(),
         number: 0,
-        log: File::options().append(true).create(true).open(&settings.log).expect("a record"),
+        log: File::options()
+            .append(true)
+            .create(true)
+            .open(&settings.log)
+            .expect("a record"),
     }));
-    state.lock().expect("no panic").record(&format!("up {}", settings.id));
+    state
+        .lock()
+        .expect("no panic")
+        .record(&format!("up {}", settings.id));
     let listener = TcpListener::bind(settings.listen).expect("the worker's port");
     let (own, id, stop) = (state.clone(), settings.id.clone(), settings.stop);
     serve(listener, move |req| handle(&own, &id, stop, &req));
@@ -232,7 +270,13 @@
             ("labels", list(settings.labels.clone().map(text))),
         ]);
         let body = object([("id", text(settings.id.clone())), ("entry", entry)]);
-        call(settings.store, "POST", "/standin-entry", &body.to_string(), HEARTBEAT);
+        call(
+            settings.store,
+            "POST",
+            "/standin-entry",
+            &body.to_string(),
+            HEARTBEAT,
+        );
         std::thread::sleep(HEARTBEAT);
     }
 }
@@ -241,7 +285,11 @@
     let until = {
         let mut state = shared.lock().expect("no panic");
         state.advance();
-        if req.headers.get("expect-instance").is_some_and(|expected| expected != id) {
+        if req
+            .headers
+            .get("expect-instance")
+            .is_some_and(|expected| expected != id)
+        {
             return state.answer(421);
         }
         if req.path == "/healthz" {
