--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -174,12 +174,14 @@
         let run = body.get("runId").number();
         let last = self.last_runs.entry(task.to_string()).or_default();
         *last = (*last).max(run);
+        // A run that completes before the stop takes effect ends `done`.
+        let stopped_at = Instant::now() + takes;
         if let Some(known) = self.runs.get_mut(task)
             && known.number == run
-            && !known.is_stopping
+            && stopped_at < known.ends_at
         {
             known.is_stopping = true;
-            known.ends_at = Instant::now() + takes;
+            known.ends_at = stopped_at;
         }
         self.answer(200)
     }
