Review case 2: an entry of another writer ends the runs of a worker that goes on with them

One entry of a service that is not named, with its own start, under the id of a worker at work: both tasks there ran twice for 2.2 s and ended done on both workers. Without the entry none did.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -7,6 +7,7 @@
 mod cases;
 mod http;
 mod json;
+mod overlap;
 mod random;
 mod site;
 mod store;
@@ -42,8 +43,8 @@
             let record = Path::new(record);
             let held = match *name {
                 "restarts" => cases::restarts::run(record, trouble),
-                "crashes" => cases::crashes::run(record, trouble),
                 "dropped-route" => cases::dropped_route::run(record, trouble),
+                "odd-entry" => cases::odd_entry::run(record, trouble),
                 "pending" => cases::pending::run(record, trouble),
                 _ => None,
             };
