--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -9,7 +9,7 @@
 target/review/release/review-standin case restarts "$here/record.txt" &
 group=$!
 # Ends what the case has started, also if the case itself is ended early.
-trap 'kill -TERM -- -"$group" 2>/dev/null' EXIT
+trap 'kill -KILL -- -"$group" 2>/dev/null' EXIT
 trap 'exit 2' INT TERM
 wait "$group"
 code=$?
--- a/review/standin/src/cases/odd_entry.rs
+++ b/review/standin/src/cases/odd_entry.rs
@@ -1,5 +1,6 @@
 //! Another writer leaves one entry, of a service that is not named, under the id of a worker.
 
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,9 @@
 /// Time for which the tasks are observed.
 const OBSERVED: Duration = Duration::from_secs(15);
 
+/// Time for a later job, whose tasks take 1 s each.
+const PROBED: Duration = Duration::from_secs(4);
+
 pub fn run(record: &Path, trouble: bool) -> Option<bool> {
     let plan = Plan {
         workers: 8,
@@ -66,6 +70,18 @@
         site.note(&format!("another writer writes servers/{worker}: {entry}"));
     }
     std::thread::sleep(OBSERVED);
+    // A job that fills the whole service shows which workers are still used.
+    let probe = format!("{:016x}", 0xb100);
+    site.submit(0, &probe, &job("work=1000", 8, 8000, 1000, "r0"));
+    std::thread::sleep(PROBED);
+    let runs = site.runs().into_iter();
+    let runs = runs.filter(|run| run.task.starts_with(&probe));
+    let used: BTreeSet<String> = runs.map(|run| run.worker).collect();
+    site.note(&format!(
+        "a later job of 8 tasks has run on {} workers, on {worker}: {}",
+        used.len(),
+        used.contains(&worker)
+    ));
     for line in site.daemon_lines(&[
         "started anew",
         "worker entry",
