Begin all times of a worker anew with its incarnation

Cause: the end of the takeover, long past, was taken as the expiry of the leases of a worker that had started again and not answered yet. Its run counted as lapsed within one tick, and the stop was not repeated.

The state of one process of a worker is now one value that a restart replaces (Incarnation), its lease a sum type in which only a worker that has answered has a clock (RunLease), and calls name the incarnation that they are meant for.

--- a/src/bench/leader.rs
+++ b/src/bench/leader.rs
@@ -140,6 +140,7 @@
     fn new(workers: u32, seed: u64) -> Self {
         let timing = Timing {
             run_lease: Millis(5800),
+            longest_lease: Millis(6000),
             takeover_expiry: Millis(11_700),
             ended_retention: Millis(140_000),
             violation_after: Millis(4000),
@@ -316,13 +317,8 @@
                         self.workers[at].runs.insert(start.task.clone(), row);
                     }
                     self.timed("answer", |site| {
-                        site.sched.on_start_response(
-                            &start.worker,
-                            &start.task,
-                            start.run,
-                            StartResponse::Started,
-                            now,
-                        );
+                        site.sched
+                            .on_start_response(&start, StartResponse::Started, now);
                     });
                 }
                 Command::Stop(stop) => {
@@ -341,8 +337,7 @@
                         });
                     }
                     self.timed("answer", |site| {
-                        site.sched
-                            .on_stop_response(&stop.worker, &stop.task, stop.run, true, now);
+                        site.sched.on_stop_response(&stop, true, now);
                     });
                 }
                 Command::Pace { .. } | Command::Advise(_) => {}
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -113,13 +113,7 @@
                         .inc();
                     tracing::info!(task = %command.task, run = command.run, worker = %command.worker, answer = label, waited_ms = command.waited.0, "start");
                     leader.update(|sched, now| {
-                        sched.on_start_response(
-                            &command.worker,
-                            &command.task,
-                            command.run,
-                            response,
-                            now,
-                        );
+                        sched.on_start_response(&command, response, now);
                     });
                     leader.wake_poll(&command.worker);
                 }));
@@ -132,13 +126,7 @@
                     let done = leader.shared.workers.stop(&command).await;
                     tracing::info!(task = %command.task, run = command.run, worker = %command.worker, acknowledged = done, "stop");
                     leader.update(|sched, now| {
-                        sched.on_stop_response(
-                            &command.worker,
-                            &command.task,
-                            command.run,
-                            done,
-                            now,
-                        );
+                        sched.on_stop_response(&command, done, now);
                     });
                 }));
             }
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -20,7 +20,7 @@
             let now = leader.shared.clock.now();
             leader.sched.lock().poll_plan(&id, now)
         };
-        let request = match plan {
+        let (incarnation, request) = match plan {
             PollPlan::Forget => break,
             PollPlan::Pause(pause) => {
                 tokio::select! {
@@ -32,17 +32,21 @@
             }
             PollPlan::Call {
                 address,
+                incarnation,
                 fence,
                 last_acknowledged,
                 deadline,
                 wait,
-            } => PollRequest {
-                address,
-                fence,
-                last_acknowledged,
-                deadline,
-                wait,
-            },
+            } => (
+                incarnation,
+                PollRequest {
+                    address,
+                    fence,
+                    last_acknowledged,
+                    deadline,
+                    wait,
+                },
+            ),
         };
         let sent_at = leader.shared.clock.now();
         let report = tokio::select! {
@@ -66,10 +70,11 @@
                 }
             }
             Err(PollError::OtherIncarnation) => {
-                leader.update(|sched, now| sched.mark_worker_dead(&id, now))
+                leader.update(|sched, now| sched.mark_worker_dead(&id, incarnation, now))
             }
             Err(PollError::Failed(err)) => {
-                leader.update(|sched, _| sched.on_poll_failure(&id, &err.to_string()));
+                let reason = err.to_string();
+                leader.update(|sched, _| sched.on_poll_failure(&id, incarnation, &reason));
                 tokio::time::sleep(SILENT_PAUSE).await;
             }
         }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -112,7 +112,8 @@
             path.display()
         ));
     }
-    let run_lease = Millis(round_to_u64(file.bounds.hold_max_ms)) - LEASE_MARGIN;
+    let longest_lease = Millis(round_to_u64(file.bounds.hold_max_ms));
+    let run_lease = longest_lease - LEASE_MARGIN;
     Ok(EntrySettings {
         name: file.node_name,
         frontend: file.listen.frontend,
@@ -126,6 +127,7 @@
         grace: Millis(round_to_u64(file.bounds.grace_s * 1000.0)),
         timing: Timing {
             run_lease,
+            longest_lease,
             takeover_expiry: FORMER_LEADER_RENEWAL_LIMIT
                 + run_lease.scale_permille(1025)
                 + LEASE_MARGIN,
--- a/src/scheduler/advice.rs
+++ b/src/scheduler/advice.rs
@@ -71,7 +71,7 @@
     /// Returns the ticket for a worker, if it is valid long enough for a start.
     pub fn ticket(&self, worker: &Worker, now: Millis) -> Option<&str> {
         let ticket = self.tickets.get(&worker.id)?;
-        (ticket.incarnation == worker.incarnation && now < ticket.valid_until)
+        (ticket.incarnation == worker.current.number && now < ticket.valid_until)
             .then_some(ticket.text.as_str())
     }
 }
@@ -118,7 +118,11 @@
         let mut candidates: Vec<(u64, &WorkerId)> = self
             .workers
             .values()
-            .filter(|worker| worker.accepts_work() && worker.fenced && worker.missed_polls == 0)
+            .filter(|worker| {
+                worker.accepts_work()
+                    && worker.current.is_fenced()
+                    && worker.current.missed_polls == 0
+            })
             .filter(|worker| worker.belongs_to(service) && reservation.fits(&worker.free()))
             .filter(|worker| has_label(worker))
             .filter(|worker| !step_advice.refused.contains(&worker.id))
@@ -194,7 +198,7 @@
             };
             let ticket = Ticket {
                 text: text.clone(),
-                incarnation: worker.incarnation,
+                incarnation: worker.current.number,
                 valid_until: now + validity - TICKET_MARGIN,
             };
             step_advice.tickets.insert(id.clone(), ticket);
--- a/src/scheduler/colocation.rs
+++ b/src/scheduler/colocation.rs
@@ -75,7 +75,7 @@
     /// Returns the CPU in millicores up to which the worker may take a best-effort task with this
     /// impact; rounded up, so that a larger task is certain to be refused.
     pub(super) fn best_effort_limit(&self, impact: &ImageImpact) -> u64 {
-        if self.over_target_since.is_some() {
+        if self.current.over_target_since.is_some() {
             return 0;
         }
         let idle = self.idle_cpu();
@@ -98,7 +98,7 @@
     /// Returns the processors that the runs share, in millicores. A worker that offers less than
     /// before has as many processors as before.
     fn processors(&self) -> f64 {
-        self.largest_cpu.0.max(self.reserved.cpu.0).max(1) as f64
+        self.current.largest_cpu.0.max(self.reserved.cpu.0).max(1) as f64
     }
 }
 
@@ -184,6 +184,7 @@
             return;
         };
         let over_target_for = worker
+            .current
             .over_target_since
             .map_or(Millis::ZERO, |at| now.since(at));
         let violation_after = self.timing.violation_after;
@@ -238,7 +239,8 @@
             }
         }
         worker.margins = None;
-        worker.over_target_since = over_target.then(|| worker.over_target_since.unwrap_or(now));
+        worker.current.over_target_since =
+            over_target.then(|| worker.current.over_target_since.unwrap_or(now));
     }
 
     /// Returns the pace of noisy neighbours at which each serving image stays below its target, by
@@ -315,6 +317,7 @@
             return;
         };
         let address = worker.address.clone();
+        let incarnation = worker.current.number;
         let Some(run) = worker.runs.get_mut(key) else {
             return;
         };
@@ -327,6 +330,7 @@
         self.commands.push(Command::Pace {
             run: StopCommand {
                 worker: id.clone(),
+                incarnation,
                 address,
                 task: key.clone(),
                 run: run.run,
--- a/src/scheduler/command.rs
+++ b/src/scheduler/command.rs
@@ -26,6 +26,8 @@
 pub struct StartCommand {
     /// Worker to run on.
     pub worker: WorkerId,
+    /// Incarnation of the worker that the call is meant for.
+    pub incarnation: u64,
     /// Address of the worker.
     pub address: String,
     /// Task to run.
@@ -51,6 +53,8 @@
 pub struct StopCommand {
     /// Worker of the run.
     pub worker: WorkerId,
+    /// Incarnation of the worker that the call is meant for.
+    pub incarnation: u64,
     /// Address of the worker.
     pub address: String,
     /// Task of the run.
@@ -91,6 +95,8 @@
     Call {
         /// Address of the worker.
         address: String,
+        /// Incarnation of the worker that the poll is meant for.
+        incarnation: u64,
         /// Fencing token of the leader.
         fence: u64,
         /// Sequence number of the last acknowledged completion.
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -86,7 +86,7 @@
         let waiting: Vec<WorkerId> = self
             .workers
             .values()
-            .filter(|worker| !worker.unacknowledged.is_empty())
+            .filter(|worker| !worker.current.unacknowledged.is_empty())
             .map(|worker| worker.id.clone())
             .collect();
         waiting
@@ -179,22 +179,20 @@
         else {
             return;
         };
-        let Some(clock) = worker.clock_at(now) else {
+        let Some(clock) = worker.current.lease.clock_at(now) else {
             return;
         };
         let address = worker.address.clone();
+        let incarnation = worker.current.number;
         let Some(run) = worker.runs.get_mut(key) else {
             return;
         };
         let is_retry = run.state == RunState::Sent;
         // A retry keeps the deadline: extending it would delay the expiry of an unresponsive
         // worker's runs.
-        let deadline = if is_retry {
-            worker.lease_end
-        } else {
-            clock + self.timing.run_lease
-        };
-        worker.lease_end = worker.lease_end.max(deadline);
+        let sent = worker.current.lease.end().filter(|_| is_retry);
+        let deadline = sent.unwrap_or(clock + self.timing.run_lease);
+        worker.current.lease.extend(deadline);
         run.state = RunState::Sent;
         let waited = now.since(run.called_at);
         run.called_at = now;
@@ -203,7 +201,7 @@
             run.started_at = now;
             run.progressed_at = now;
             if run.in_trial {
-                worker.trial_until = now + TRIAL_PERIOD;
+                worker.current.trial_until = now + TRIAL_PERIOD;
             }
         }
         job.started = true;
@@ -214,6 +212,7 @@
             .unwrap_or_default();
         self.commands.push(Command::Start(StartCommand {
             worker: id.clone(),
+            incarnation,
             address,
             task: key.clone(),
             run: number,
@@ -282,8 +281,8 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return false;
         };
-        let before = worker.acknowledged;
-        while let Some((number, job, version)) = worker.unacknowledged.front() {
+        let before = worker.current.acknowledged;
+        while let Some((number, job, version)) = worker.current.unacknowledged.front() {
             let durable = self
                 .jobs
                 .get(job)
@@ -291,12 +290,12 @@
             if !durable {
                 break;
             }
-            worker.acknowledged = *number;
-            worker.unacknowledged.pop_front();
+            worker.current.acknowledged = *number;
+            worker.current.unacknowledged.pop_front();
         }
-        if worker.unacknowledged.is_empty() {
-            worker.acknowledged = worker.last_handled;
+        if worker.current.unacknowledged.is_empty() {
+            worker.current.acknowledged = worker.current.last_handled;
         }
-        worker.acknowledged > before
+        worker.current.acknowledged > before
     }
 }
--- a/src/scheduler/completions.rs
+++ b/src/scheduler/completions.rs
@@ -17,7 +17,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.last_handled = end.sequence;
+        worker.current.last_handled = end.sequence;
         let placement = worker.placement();
         let is_current_run = worker
             .runs
@@ -32,12 +32,13 @@
         let version = self.apply_to_job(&placement, end, run.as_ref(), now, wall);
         if let Some(worker) = self.workers.get_mut(id) {
             worker
+                .current
                 .unacknowledged
                 .push_back((end.sequence, end.task.job.clone(), version));
             match end.outcome {
-                RunOutcome::Done => worker.health.record_success(),
+                RunOutcome::Done => worker.current.health.record_success(),
                 RunOutcome::Failed if run.as_ref().is_some_and(|run| !run.long_running) => {
-                    worker.health.record_failure(now);
+                    worker.current.health.record_failure(now);
                 }
                 _ => {}
             }
--- a/src/scheduler/crash_tracker.rs
+++ b/src/scheduler/crash_tracker.rs
@@ -77,14 +77,14 @@
     /// Returns what a crash of a worker would say about its runs; `None` if the worker was leaving.
     pub(super) fn lost_worker(&self, id: &WorkerId, now: Millis) -> Option<LostWorker> {
         let worker = self.workers.get(id)?;
-        (!worker.leaving).then(|| LostWorker {
+        (!worker.current.leaving).then(|| LostWorker {
             id: id.clone(),
             address: worker.address.clone(),
-            incarnation: worker.incarnation,
+            incarnation: worker.current.number,
             runs: worker
                 .runs
                 .iter()
-                .filter_map(|(key, run)| LostRun::new(key, run, worker.last_report_at))
+                .filter_map(|(key, run)| LostRun::new(key, run, worker.current.last_report_at))
                 .collect(),
             is_certain: true,
             is_counted: false,
@@ -117,7 +117,7 @@
         let Some(worker) = self.workers.get(&lost.id) else {
             return;
         };
-        if worker.replaced {
+        if worker.current.replaced {
             self.count_crash(&lost, now);
             return;
         }
@@ -134,9 +134,9 @@
     /// Marks the workers that a newer one has replaced, and counts those of them that are silent.
     pub(super) fn note_replaced(&mut self, entry: &WorkerEntry, now: Millis) {
         for worker in self.workers.values_mut() {
-            worker.replaced |= worker.id != entry.id
+            worker.current.replaced |= worker.id != entry.id
                 && worker.address == entry.address
-                && worker.incarnation < entry.incarnation;
+                && worker.current.number < entry.incarnation;
         }
         let replaced =
             self.crashes
--- a/src/scheduler/poll.rs
+++ b/src/scheduler/poll.rs
@@ -43,34 +43,36 @@
             self.workers.remove(id);
             return PollPlan::Forget;
         }
-        let gap = (worker.last_report_at + poll_gap).since(now);
-        if worker.fenced && gap > Millis::ZERO && worker.missed_polls == 0 {
+        let gap = (worker.current.last_report_at + poll_gap).since(now);
+        let is_fenced = worker.current.is_fenced();
+        if is_fenced && gap > Millis::ZERO && worker.current.missed_polls == 0 {
             return PollPlan::Pause(gap);
         }
-        let waiting = worker.last_handled > worker.acknowledged;
-        if worker.fenced && worker.runs.is_empty() && !waiting && worker.missed_polls == 0 {
+        let waiting = worker.current.last_handled > worker.current.acknowledged;
+        if is_fenced && worker.runs.is_empty() && !waiting && worker.current.missed_polls == 0 {
             return PollPlan::Pause(IDLE_PAUSE);
         }
         // Polling an unresponsive worker must not delay the expiry of its runs.
-        let renews = worker.fenced && worker.missed_polls == 0;
-        let deadline = worker
-            .clock_at(now)
-            .filter(|_| renews)
-            .map(|clock| clock + lease);
-        worker.lease_end = worker.lease_end.max(deadline.unwrap_or_default());
+        let renews = is_fenced && worker.current.missed_polls == 0;
+        let clock = worker.current.lease.clock_at(now).filter(|_| renews);
+        let deadline = clock.map(|clock| clock + lease);
+        if let Some(deadline) = deadline {
+            worker.current.lease.extend(deadline);
+        }
         // After a silence another incarnation may answer, whose completions have numbers of their
         // own and must not be acknowledged unread.
-        let last_acknowledged = if worker.missed_polls > 0 {
+        let last_acknowledged = if worker.current.missed_polls > 0 {
             0
         } else {
-            worker.acknowledged
+            worker.current.acknowledged
         };
         PollPlan::Call {
             address: worker.address.clone(),
+            incarnation: worker.current.number,
             fence,
             last_acknowledged,
             deadline,
-            wait: if worker.fenced && !waiting && worker.missed_polls == 0 {
+            wait: if is_fenced && !waiting && worker.current.missed_polls == 0 {
                 if worker.serving_runs > 0 && worker.best_effort_cpu.0 > 0 {
                     COLOCATION_POLL_WAIT
                 } else {
@@ -86,6 +88,6 @@
     /// not yet recorded.
     pub fn unacknowledged_pause(&self, id: &WorkerId) -> Option<Millis> {
         let worker = self.workers.get(id)?;
-        (worker.last_handled > worker.acknowledged).then_some(UNACKNOWLEDGED_PAUSE)
+        (worker.current.last_handled > worker.current.acknowledged).then_some(UNACKNOWLEDGED_PAUSE)
     }
 }
--- a/src/scheduler/selection.rs
+++ b/src/scheduler/selection.rs
@@ -48,7 +48,7 @@
         if !request.accepts_label(worker) {
             return Ok(None);
         }
-        let suspect = worker.health.is_suspect(now);
+        let suspect = worker.current.health.is_suspect(now);
         if !request.is_within_limits(worker, now) || (suspect && request.last_attempt) {
             return Err(NotFound::OwnLimits);
         }
@@ -128,7 +128,9 @@
     };
     if step.best_effort {
         let idle = worker.idle_cpu();
-        if idle < step.need.cpu.0 || (worker.over_target_since.is_some() && !request.overdue) {
+        if idle < step.need.cpu.0
+            || (worker.current.over_target_since.is_some() && !request.overdue)
+        {
             return None;
         }
         if worker.serving_runs == 0 {
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -6,6 +6,7 @@
 use super::crash::needs_trial;
 use super::crash_tracker::CrashTracker;
 use super::fleet::Fleet;
+use super::incarnation::Incarnation;
 use super::interference::Interference;
 use super::poll_gap::PollGap;
 use super::record_queue::RecordQueue;
@@ -23,6 +24,8 @@
 pub struct Timing {
     /// Lease that workers are given for their runs.
     pub run_lease: Millis,
+    /// Longest lease that a worker accepts; it shortens a longer one.
+    pub longest_lease: Millis,
     /// Time after a takeover at which the runs of an unresponsive worker have expired, whatever the
     /// former leader still did.
     pub takeover_expiry: Millis,
@@ -32,9 +35,6 @@
     pub violation_after: Millis,
 }
 
-/// Tolerance for the rate of a worker's clock, in thousandths.
-pub(super) const CLOCK_DRIFT_PERMILLE: u64 = 25;
-
 /// Decisions and state of one leader.
 pub struct Scheduler {
     pub(super) timing: Timing,
@@ -184,7 +184,7 @@
             new_workers.push(id.clone());
             Worker {
                 id: id.clone(),
-                incarnation,
+                current: Incarnation::inherited(incarnation),
                 ..Worker::default()
             }
         })
@@ -276,6 +276,7 @@
             return;
         };
         let address = found.address.clone();
+        let incarnation = found.current.number;
         if let Some(run) = found.runs.get_mut(key)
             && !address.is_empty()
         {
@@ -283,6 +284,7 @@
             run.call_in_flight = true;
             self.commands.push(Command::Stop(StopCommand {
                 worker: worker.clone(),
+                incarnation,
                 address,
                 task: key.clone(),
                 run: run.run,
--- a/src/scheduler/tick.rs
+++ b/src/scheduler/tick.rs
@@ -1,8 +1,8 @@
 //! Periodic work: retries, expiry of leases, stalled runs and removal of old jobs.
 
-use super::state::CLOCK_DRIFT_PERMILLE;
+use super::run_lease::RunLease;
 use super::worker::RunState;
-use super::{Phase, Scheduler, TaskKey};
+use super::{Phase, Scheduler, TaskKey, Worker};
 use crate::prelude::*;
 
 /// Time after which an unanswered start or stop is retried.
@@ -31,16 +31,10 @@
         let expired: Vec<WorkerId> = self
             .workers
             .values()
-            .filter(|worker| !worker.runs.is_empty() && (worker.missed_polls > 0 || !worker.fenced))
+            .filter(|worker| !worker.runs.is_empty())
+            .filter(|worker| worker.current.missed_polls > 0 || !worker.current.is_fenced())
             .filter(|worker| {
-                let lease_expiry = worker
-                    .lease_expires_at(CLOCK_DRIFT_PERMILLE)
-                    .unwrap_or(takeover);
-                let expires_at = if worker.fenced {
-                    lease_expiry
-                } else {
-                    lease_expiry.max(takeover)
-                };
+                let expires_at = worker.current.lease.expires_at(&self.timing, takeover);
                 now > expires_at + EXPIRY_MARGIN
             })
             .map(|worker| worker.id.clone())
@@ -52,8 +46,12 @@
         }
     }
 
-    /// Marks a worker as dead after another incarnation answered at its address.
-    pub fn mark_worker_dead(&mut self, id: &WorkerId, now: Millis) {
+    /// Marks an incarnation of a worker as dead after another one answered at its address.
+    pub fn mark_worker_dead(&mut self, id: &WorkerId, incarnation: u64, now: Millis) {
+        let is_current = |worker: &Worker| worker.current.number == incarnation;
+        if !self.workers.get(id).is_some_and(is_current) {
+            return;
+        }
         let lost = self.lost_worker(id, now);
         self.release_all_runs(id, "another incarnation answered", now);
         if let Some(worker) = self.workers.get_mut(id) {
@@ -73,8 +71,8 @@
             .iter()
             .map(|(key, run)| (key.clone(), run.run))
             .collect();
-        tracing::warn!(worker = %id, born = worker.incarnation, runs = runs.len(), reason, "runs are lost");
-        worker.fenced = false;
+        tracing::warn!(worker = %id, born = worker.current.number, runs = runs.len(), reason, "runs are lost");
+        worker.current.lease = RunLease::Ended;
         for (key, run) in runs {
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.remove_run(&key);
@@ -130,7 +128,9 @@
                     continue;
                 };
                 let share = job.step(instance).estimate.scale_permille(200);
-                if run.progressed_at + STALL_TIMEOUT + share < now && worker.missed_polls == 0 {
+                if run.progressed_at + STALL_TIMEOUT + share < now
+                    && worker.current.missed_polls == 0
+                {
                     stalled.push((worker.id.clone(), key.clone()));
                 }
             }
@@ -138,7 +138,7 @@
         for (id, key) in stalled {
             tracing::info!(task = %key, worker = %id, "run stands still; it is moved");
             if let Some(worker) = self.workers.get_mut(&id) {
-                worker.health.cool_down(now);
+                worker.current.health.cool_down(now);
             }
             self.stop(&id, &key, now);
         }
--- a/src/scheduler/trial.rs
+++ b/src/scheduler/trial.rs
@@ -73,7 +73,7 @@
             .filter(|worker| {
                 request.is_eligible(worker, now) && request.is_within_limits(worker, now)
             })
-            .filter(|worker| worker.suspects == 0 && !worker.health.is_suspect(now))
+            .filter(|worker| worker.suspects == 0 && !worker.current.health.is_suspect(now))
             .filter(|worker| !self.crashes.has_crashed(&worker.address, now))
             .filter(|worker| !worker.runs.values().any(|run| is_new(run, now)))
             .filter_map(|worker| {
@@ -88,7 +88,7 @@
 impl Worker {
     /// Returns whether a trial is in progress; with other new runs, a crash would not show its cause.
     pub(super) fn has_trial(&self, now: Millis) -> bool {
-        now < self.trial_until
+        now < self.current.trial_until
     }
 }
 
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -1,10 +1,10 @@
 //! State of a worker in the leader's memory.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use super::crash::TRIAL_PERIOD;
+use super::incarnation::Incarnation;
 use super::slack::SlackEstimate;
-use super::worker_health::WorkerHealth;
 use super::{Placement, RunStatus, TaskKey};
 use crate::prelude::*;
 
@@ -97,6 +97,16 @@
         !planned && (!self.listed || self.call_in_flight || self.in_doubt)
     }
 
+    /// Marks a run that the next incarnation of its worker may have and that is to be stopped there.
+    /// What the incarnation before has said of the run is void.
+    pub fn leave_over(&mut self) {
+        self.state = RunState::Stopping;
+        self.settled_at = None;
+        self.listed = false;
+        self.listed_in = 0;
+        self.left_over = true;
+    }
+
     /// Takes over what the report with this number says of the run.
     pub fn note_status(&mut self, status: &RunStatus, report: u64, now: Millis) {
         self.listed = true;
@@ -153,54 +163,27 @@
     /// The entry may date from before an outage of the store.
     pub(super) entry_is_old: bool,
     pub(super) address: String,
-    pub(super) incarnation: u64,
-    /// The worker has answered under this leader's fencing token.
-    pub(super) fenced: bool,
+    /// What is known of the present process of the worker.
+    pub(super) current: Incarnation,
     pub(super) reserved: Resources,
-    /// Largest CPU capacity that this incarnation has shown: the processors that its runs share.
-    pub(super) largest_cpu: Millicores,
     /// CPU that best-effort runs request.
     pub(super) best_effort_cpu: Millicores,
     pub(super) serving_runs: u32,
-    /// Time since when a serving task has been over its target.
-    pub(super) over_target_since: Option<Millis>,
     /// Expected CPU use in millicores: reserved CPU, and the average use of serving tasks.
     pub(super) expected_cpu: u64,
     /// Smallest slack margin beside the present tasks for each serving image, by its index in the
     /// model; `None` if out of date.
     pub(super) margins: Option<Vec<(Option<usize>, f64)>>,
     pub(super) runs: BTreeMap<TaskKey, Run>,
-    /// Time of the last report, and the worker's clock in it.
-    pub(super) clock: Option<(Millis, Millis)>,
-    /// Latest lease expiry that was sent to the worker, on its clock.
-    pub(super) lease_end: Millis,
-    /// Sequence number of the last completion that was applied.
-    pub(super) last_handled: u64,
-    /// Sequence number of the last completion that the worker may drop.
-    pub(super) acknowledged: u64,
-    /// Applied completions that are not yet durable: sequence number, job and version of the job.
-    pub(super) unacknowledged: VecDeque<(u64, JobId, u64)>,
-    pub(super) last_report_at: Millis,
-    /// Number of reports that were handled.
-    pub(super) reports: u64,
-    /// Unanswered polls since the last report; at least 1 after an unanswered start.
-    pub(super) missed_polls: u32,
-    pub(super) health: WorkerHealth,
-    /// The last entry of this incarnation was that of a draining worker.
-    pub(super) leaving: bool,
-    /// A newer worker has registered at the address.
-    pub(super) replaced: bool,
     /// Number of runs whose tasks are suspected of crashing workers.
     pub(super) suspects: u32,
-    /// End of the trial of a suspected task.
-    pub(super) trial_until: Millis,
 }
 
 impl Worker {
     pub(super) fn placement(&self) -> Placement {
         Placement {
             worker: self.id.clone(),
-            incarnation: self.incarnation,
+            incarnation: self.current.number,
         }
     }
 
@@ -218,7 +201,7 @@
         }
         self.suspects += u32::from(run.crashes > 0);
         if run.in_trial {
-            self.trial_until = run.started_at + TRIAL_PERIOD;
+            self.current.trial_until = run.started_at + TRIAL_PERIOD;
         }
         self.expected_cpu += run.expected_cpu();
         self.margins = None;
@@ -236,7 +219,7 @@
         }
         self.suspects = self.suspects.saturating_sub(u32::from(run.crashes > 0));
         if run.in_trial {
-            self.trial_until = Millis::ZERO;
+            self.current.trial_until = Millis::ZERO;
         }
         self.expected_cpu = self.expected_cpu.saturating_sub(run.expected_cpu());
         self.margins = None;
@@ -260,12 +243,14 @@
 
     /// Returns whether the worker can be given runs now, apart from its free resources.
     pub(super) fn takes_runs(&self, now: Millis) -> bool {
-        let is_known = self.fenced && !self.entry_is_old && self.missed_polls == 0;
+        let current = &self.current;
+        let is_known = current.is_fenced() && !self.entry_is_old && current.missed_polls == 0;
         let entry = self.entry.as_ref();
         is_known
             && !self.has_trial(now)
-            && !self.health.is_cooling_down(now)
-            && entry.is_some_and(|entry| !entry.draining && entry.incarnation == self.incarnation)
+            && !current.health.is_cooling_down(now)
+            && entry
+                .is_some_and(|entry| !entry.draining && entry.incarnation == self.current.number)
     }
 
     /// Returns whether the worker belongs to a service.
@@ -311,23 +296,6 @@
         self.has_room_for(&Resources::default(), &unsent)
     }
 
-    /// Estimates the current reading of the worker's clock.
-    pub(super) fn clock_at(&self, now: Millis) -> Option<Millis> {
-        self.clock.map(|(at, clock)| clock + now.since(at))
-    }
-
-    /// Returns the time at which the leases of all runs have certainly expired, unless they are
-    /// renewed.
-    pub(super) fn lease_expires_at(&self, drift_permille: u64) -> Option<Millis> {
-        let (at, clock) = self.clock?;
-        Some(
-            at + self
-                .lease_end
-                .since(clock)
-                .scale_permille(1000 + drift_permille),
-        )
-    }
-
     /// Returns the rack, which is the second label; the first is the kind of the worker.
     pub(super) fn rack(&self) -> Option<&str> {
         let entry = self.entry.as_ref()?;
--- a/src/scheduler/worker_entries.rs
+++ b/src/scheduler/worker_entries.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::worker::RunState;
+use super::incarnation::Incarnation;
 use super::{Scheduler, TaskKey, WorkerEntry};
 use crate::prelude::*;
 
@@ -10,8 +10,8 @@
     /// Applies the entry of a worker.
     pub fn set_entry(&mut self, entry: WorkerEntry, now: Millis) {
         let worker = self.worker(&entry.id, entry.incarnation);
-        let is_newer = entry.incarnation > worker.incarnation;
-        let is_older = entry.incarnation < worker.incarnation;
+        let is_newer = entry.incarnation > worker.current.number;
+        let is_older = entry.incarnation < worker.current.number;
         if is_older {
             return;
         }
@@ -28,8 +28,8 @@
             self.begin_incarnation(&id, entry.incarnation, now);
         }
         if let Some(worker) = self.workers.get_mut(&id) {
-            worker.largest_cpu = worker.largest_cpu.max(entry.capacity.cpu);
-            worker.leaving = entry.draining;
+            worker.current.largest_cpu = worker.current.largest_cpu.max(entry.capacity.cpu);
+            worker.current.leaving = entry.draining;
         }
         if changed {
             self.note_replaced(&entry, now);
@@ -69,16 +69,7 @@
         };
         tracing::info!(worker = %id, born = incarnation, runs = worker.runs.len(), "worker has started anew");
         let place = worker.placement();
-        worker.incarnation = incarnation;
-        worker.fenced = false;
-        worker.clock = None;
-        worker.lease_end = Millis::ZERO;
-        worker.last_handled = 0;
-        worker.acknowledged = 0;
-        worker.unacknowledged.clear();
-        worker.missed_polls = 0;
-        worker.largest_cpu = Millicores::default();
-        worker.leaving = false;
+        worker.current = Incarnation::begun(incarnation, now);
         let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
         let mut freed = Vec::new();
         let mut stops = Vec::new();
@@ -87,10 +78,7 @@
                 continue;
             };
             if run.may_survive_restart() {
-                run.state = RunState::Stopping;
-                run.settled_at = None;
-                run.listed = false;
-                run.left_over = true;
+                run.leave_over();
                 stops.push(key);
                 continue;
             }
--- a/src/scheduler/worker_events.rs
+++ b/src/scheduler/worker_events.rs
@@ -2,7 +2,9 @@
 
 use super::crash::CLEARED_AFTER;
 use super::worker::{Run, RunState};
-use super::{RunStatus, Scheduler, StartResponse, TaskKey, WorkerReport};
+use super::{
+    RunStatus, Scheduler, StartCommand, StartResponse, StopCommand, TaskKey, WorkerReport,
+};
 use crate::prelude::*;
 
 /// Maximum number of completions in one report; a full report may omit later ones.
@@ -22,31 +24,34 @@
         report: &WorkerReport,
     ) {
         self.wall = (now, wall);
+        let longest_lease = self.timing.longest_lease;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if report.incarnation < worker.incarnation {
+        if report.incarnation < worker.current.number {
             return;
         }
-        if report.incarnation > worker.incarnation {
+        if report.incarnation > worker.current.number {
             self.begin_incarnation(id, report.incarnation, now);
         }
         self.note_returned(id, report.incarnation, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if !worker.fenced || worker.missed_polls > 0 {
+        if !worker.current.is_fenced() || worker.current.missed_polls > 0 {
             self.replan = true;
         }
-        if worker.missed_polls >= 3 {
-            tracing::info!(worker = %id, misses = worker.missed_polls, "worker answers again");
-        }
-        worker.fenced = true;
-        worker.missed_polls = 0;
-        worker.reports += 1;
-        worker.last_report_at = now;
-        worker.clock = Some((now, report.clock));
-        let last_handled = worker.last_handled;
+        if worker.current.missed_polls >= 3 {
+            tracing::info!(worker = %id, misses = worker.current.missed_polls, "worker answers again");
+        }
+        worker
+            .current
+            .lease
+            .confirm(now, report.clock, longest_lease);
+        worker.current.missed_polls = 0;
+        worker.current.reports += 1;
+        worker.current.last_report_at = now;
+        let last_handled = worker.current.last_handled;
         for end in report
             .ended
             .iter()
@@ -86,7 +91,7 @@
             }
         }
         if let Some(run) = expected {
-            run.note_status(status, worker.reports, now);
+            run.note_status(status, worker.current.reports, now);
             if crashes > 0 && now.since(run.started_at) >= CLEARED_AFTER {
                 worker.clear_suspect(&status.task);
                 self.clear_crashes(&status.task, now);
@@ -127,7 +132,7 @@
             .runs
             .iter()
             .filter(|(_, run)| run.settled_at.is_some_and(|at| at < requested_at))
-            .filter(|(_, run)| run.listed_in != worker.reports)
+            .filter(|(_, run)| run.listed_in != worker.current.reports)
             .map(|(key, run)| (key.clone(), run.run))
             .collect();
         for (key, run) in absent {
@@ -144,22 +149,24 @@
     /// Handles the response to a start.
     pub fn on_start_response(
         &mut self,
-        id: &WorkerId,
-        key: &TaskKey,
-        number: u32,
+        command: &StartCommand,
         response: StartResponse,
         now: Millis,
     ) {
+        let (id, key) = (&command.worker, &command.task);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         let Some(run) = worker.runs.get_mut(key) else {
             return;
         };
-        if run.run != number {
+        if run.run != command.run {
             return;
         }
         run.call_in_flight = false;
+        if worker.current.number != command.incarnation {
+            return;
+        }
         match response {
             StartResponse::Started => {
                 if run.state == RunState::Sent {
@@ -167,10 +174,11 @@
                     run.settled_at = Some(now);
                 }
             }
-            StartResponse::OtherIncarnation => self.mark_worker_dead(id, now),
+            StartResponse::OtherIncarnation => self.mark_worker_dead(id, command.incarnation, now),
             StartResponse::Unknown => {
                 run.in_doubt = true;
-                worker.missed_polls = worker.missed_polls.max(MISSED_POLLS_TO_EXCLUDE);
+                worker.current.missed_polls =
+                    worker.current.missed_polls.max(MISSED_POLLS_TO_EXCLUDE);
             }
             // An earlier copy of this start may have been executed, so the next report decides.
             StartResponse::AlreadyEnded => run.settled_at = Some(now),
@@ -179,9 +187,9 @@
             | StartResponse::NoRoom
             | StartResponse::NoTicket
             | StartResponse::Refused => {
-                tracing::info!(task = %key, run = number, worker = %id, answer = ?response, "start rejected");
+                tracing::info!(task = %key, run = command.run, worker = %id, answer = ?response, "start rejected");
                 if response == StartResponse::Refused || response == StartResponse::NoRoom {
-                    worker.health.cool_down(now);
+                    worker.current.health.cool_down(now);
                 }
                 if run.state == RunState::Sent {
                     run.state = RunState::Stopping;
@@ -199,35 +207,30 @@
     }
 
     /// Handles the result of a stop; `acknowledged` is whether the worker accepted it.
-    pub fn on_stop_response(
-        &mut self,
-        id: &WorkerId,
-        key: &TaskKey,
-        number: u32,
-        acknowledged: bool,
-        now: Millis,
-    ) {
-        let Some(run) = self
-            .workers
-            .get_mut(id)
-            .and_then(|worker| worker.runs.get_mut(key))
-        else {
+    pub fn on_stop_response(&mut self, command: &StopCommand, acknowledged: bool, now: Millis) {
+        let Some(worker) = self.workers.get_mut(&command.worker) else {
             return;
         };
-        if run.run != number || run.state != RunState::Stopping {
+        let Some(run) = worker.runs.get_mut(&command.task) else {
+            return;
+        };
+        if run.run != command.run || run.state != RunState::Stopping {
             return;
         }
         run.call_in_flight = false;
-        if acknowledged {
+        // A former incarnation knows nothing of what the present one runs.
+        if acknowledged && worker.current.number == command.incarnation {
             run.settled_at = Some(now);
         }
     }
 
-    /// Records that a worker did not answer a poll.
-    pub fn on_poll_failure(&mut self, id: &WorkerId, reason: &str) {
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.missed_polls += 1;
-            if worker.missed_polls == 3 {
+    /// Records that an incarnation of a worker did not answer a poll.
+    pub fn on_poll_failure(&mut self, id: &WorkerId, incarnation: u64, reason: &str) {
+        if let Some(worker) = self.workers.get_mut(id)
+            && worker.current.number == incarnation
+        {
+            worker.current.missed_polls += 1;
+            if worker.current.missed_polls == 3 {
                 tracing::warn!(worker = %id, runs = worker.runs.len(), reason, "worker does not answer");
             }
         }
--- a/tests/advice_cases.rs
+++ b/tests/advice_cases.rs
@@ -116,7 +116,8 @@
     let start = starts(&plan_and_commit(&mut sched, 3, Millis(530))).remove(0);
 
     respond(&mut sched, &start, StartResponse::NoTicket, Millis(540));
-    sched.on_stop_response(&start.worker, &start.task, start.run, true, Millis(550));
+    let stop = stops(&sched.take_commands()).remove(0);
+    sched.on_stop_response(&stop, true, Millis(550));
     let now = Millis(560);
     deliver_report(&mut sched, &start.worker, 1, now, WorkerReport::default());
     let commands = plan_and_commit(&mut sched, 4, Millis(600));
--- a/tests/capacity_cases.rs
+++ b/tests/capacity_cases.rs
@@ -128,7 +128,7 @@
     sched.on_commit(&batch, 1, Millis(20));
     let commands = sched.take_commands();
     for stop in stops(&commands) {
-        sched.on_stop_response(&stop.worker, &stop.task, stop.run, true, Millis(25));
+        sched.on_stop_response(&stop, true, Millis(25));
     }
     deliver_report(
         &mut sched,
--- a/tests/crash_cases.rs
+++ b/tests/crash_cases.rs
@@ -115,11 +115,11 @@
         for (at, worker) in self.workers.iter_mut().enumerate() {
             if worker.back_at.is_some_and(|at| at <= self.now) {
                 worker.back_at = None;
-                let old = worker.entry.id.clone();
+                let old = worker.entry.clone();
                 worker.entry.incarnation = self.now;
                 if let Return::OtherId = self.returns {
                     worker.entry.id = worker_id(at + self.now as usize);
-                    self.sched.mark_worker_dead(&old, now);
+                    self.sched.mark_worker_dead(&old.id, old.incarnation, now);
                 }
                 self.sched.set_entry(worker.entry.clone(), now);
             }
@@ -129,7 +129,8 @@
     fn report(&mut self) {
         for worker in &mut self.workers {
             if worker.back_at.is_some() {
-                self.sched.on_poll_failure(&worker.entry.id, "refused");
+                self.sched
+                    .on_poll_failure(&worker.entry.id, worker.entry.incarnation, "refused");
                 continue;
             }
             let over: Vec<_> = worker
@@ -177,8 +178,8 @@
             let worker = self.workers.iter_mut().find(|w| w.entry.id == stop.worker);
             if let Some(worker) = worker.filter(|worker| worker.back_at.is_none()) {
                 worker.runs.remove(&stop.task);
-                let (sched, task) = (&mut self.sched, &stop.task);
-                sched.on_stop_response(&stop.worker, task, stop.run, true, now);
+                let sched = &mut self.sched;
+                sched.on_stop_response(&stop, true, now);
             }
         }
         for start in starts(&commands) {
@@ -338,7 +339,7 @@
     draining.draining = true;
     sched.set_entry(draining, Millis(100));
     sched.remove_entry(&worker_id(1));
-    sched.mark_worker_dead(&worker_id(1), Millis(3000));
+    sched.mark_worker_dead(&worker_id(1), 1, Millis(3000));
 
     assert_eq!(recorded_crashes(&mut sched, Millis(3000)), 0);
 }
@@ -346,7 +347,7 @@
 /// Lets the lease of a silent worker lapse; returns the time.
 fn lapse(sched: &mut Scheduler) -> Millis {
     for now in (100..10_000).step_by(250).map(Millis) {
-        sched.on_poll_failure(&worker_id(1), "silent");
+        sched.on_poll_failure(&worker_id(1), 1, "silent");
         sched.tick(now);
     }
     assert_eq!(recorded_crashes(sched, Millis(10_000)), 0);
@@ -425,7 +426,7 @@
     sched.set_entry(next, Millis(3000));
     sched.remove_entry(&worker_id(2));
     for now in (3100..10_000).step_by(250).map(Millis) {
-        sched.on_poll_failure(&worker_id(1), "refused");
+        sched.on_poll_failure(&worker_id(1), 1, "refused");
         sched.tick(now);
     }
 
@@ -447,7 +448,7 @@
         deliver_report(&mut sched, &worker_id(1), 1, now, report);
     }
 
-    sched.mark_worker_dead(&worker_id(1), Millis(12_100));
+    sched.mark_worker_dead(&worker_id(1), 1, Millis(12_100));
 
     assert_eq!(recorded_crashes(&mut sched, Millis(12_100)), 0);
 }
@@ -460,7 +461,7 @@
     let mut one = step(1, 1000, 1000);
     one.long_running = true;
     start_one(&mut sched, job("patient", vec![one]));
-    sched.mark_worker_dead(&worker_id(1), Millis(3000));
+    sched.mark_worker_dead(&worker_id(1), 1, Millis(3000));
     assert_eq!(recorded_crashes(&mut sched, Millis(3000)), 1);
     register(&mut sched, entry(2, 2, 8000, 8000), Millis(3100));
     let start = starts(&plan_and_commit(&mut sched, 2, Millis(3100))).remove(0);
--- a/tests/incarnation_cases.rs
+++ b/tests/incarnation_cases.rs
@@ -4,7 +4,8 @@
 
 use sapphirecroft::prelude::*;
 use sapphirecroft::scheduler::{
-    PollPlan, RunCompletion, RunOutcome, Scheduler, StartResponse, WorkerReport,
+    Command, PollPlan, RunCompletion, RunOutcome, Scheduler, StartCommand, StartResponse,
+    WorkerReport,
 };
 use scheduler_support::*;
 
@@ -44,7 +45,7 @@
     plan_and_commit(&mut sched, 2, Millis(500));
 
     let before = last_acknowledged(&mut sched, Millis(600));
-    sched.on_poll_failure(&worker_id(1), "silent");
+    sched.on_poll_failure(&worker_id(1), 1, "silent");
     let silent = last_acknowledged(&mut sched, Millis(1500));
     deliver_report(
         &mut sched,
@@ -64,3 +65,152 @@
 
     assert_eq!((before, silent, after), (1, 0, 1));
 }
+
+/// Time at which the leader of these tests has long forgotten its takeover.
+const LATE: u64 = 60_000;
+
+/// Returns a leader with a start on worker 1 that worker 1 may have executed after a restart that
+/// the leader has not noticed; worker 2 has room for the task.
+fn with_start_across_restart() -> (Scheduler, StartCommand) {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, 8000), Millis(LATE));
+    let spec = job("urgent", vec![step(1, 1000, 1000)]);
+    submit(&mut sched, "a", spec, Millis(LATE));
+    let start = starts(&plan_and_commit(&mut sched, 1, Millis(LATE))).remove(0);
+    respond(
+        &mut sched,
+        &start,
+        StartResponse::Unknown,
+        Millis(LATE + 10),
+    );
+    register(&mut sched, entry(2, 1, 8000, 8000), Millis(LATE + 20));
+    sched.set_entry(entry(1, 2, 8000, 8000), Millis(LATE + 50));
+    (sched, start)
+}
+
+/// Ticks and plans; returns all commands.
+fn tick(sched: &mut Scheduler, now: u64) -> Vec<Command> {
+    sched.tick(Millis(now));
+    plan_and_commit(sched, 2, Millis(now))
+}
+
+/// Guards against two runs of a task: the expiry of the takeover, long past, was applied to a worker
+/// that had started again, and its run counted as lapsed (review case 1).
+#[test]
+fn a_run_of_a_restarted_worker_does_not_lapse_with_the_takeover() {
+    let (mut sched, _) = with_start_across_restart();
+
+    let mut sent = Vec::new();
+    for now in (LATE + 100..LATE + 3000).step_by(100) {
+        sched.on_poll_failure(&worker_id(1), 2, "silent");
+        let commands = tick(&mut sched, now);
+        for stop in stops(&commands) {
+            sched.on_stop_response(&stop, false, Millis(now + 50));
+        }
+        sent.extend(commands);
+    }
+
+    assert_eq!(starts(&sent).len(), 0);
+    let stops = stops(&sent);
+    assert!(stops.len() > 2, "the stop is repeated: {}", stops.len());
+}
+
+/// Guards against a task that never returns: a worker that started again and stays silent keeps its
+/// runs no longer than the longest lease after the restart was noticed.
+#[test]
+fn a_run_of_a_restarted_silent_worker_ends_with_the_longest_lease() {
+    let (mut sched, _) = with_start_across_restart();
+
+    let mut restarted_at = None;
+    for now in (LATE + 100..LATE + 10_000).step_by(100) {
+        sched.on_poll_failure(&worker_id(1), 2, "silent");
+        if !starts(&tick(&mut sched, now)).is_empty() {
+            restarted_at.get_or_insert(now);
+        }
+        // Keeps worker 2 in use.
+        let now = Millis(now);
+        deliver_report(&mut sched, &worker_id(2), 1, now, WorkerReport::default());
+    }
+
+    let wait = restarted_at.expect("a start") - LATE - 50;
+    assert!((6150..8200).contains(&wait), "{wait} ms");
+}
+
+/// Guards against two runs of a task: a stop that the process before the restart has acknowledged
+/// says nothing about the run that the present one has.
+#[test]
+fn a_stop_acknowledged_before_the_restart_does_not_release_the_run() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, 8000), Millis(LATE));
+    let spec = job("urgent", vec![step(1, 1000, 1000)]);
+    submit(&mut sched, "a", spec, Millis(LATE));
+    let start = starts(&plan_and_commit(&mut sched, 1, Millis(LATE))).remove(0);
+    respond(
+        &mut sched,
+        &start,
+        StartResponse::Refused,
+        Millis(LATE + 10),
+    );
+    let early = stops(&sched.take_commands()).remove(0);
+    register(&mut sched, entry(2, 1, 8000, 8000), Millis(LATE + 20));
+    sched.set_entry(entry(1, 2, 8000, 8000), Millis(LATE + 50));
+
+    sched.on_stop_response(&early, true, Millis(LATE + 60));
+    let now = Millis(LATE + 100);
+    deliver_report(&mut sched, &worker_id(1), 2, now, WorkerReport::default());
+    let before = starts(&tick(&mut sched, LATE + 110));
+    let repeated = stops(&tick(&mut sched, LATE + 400)).remove(0);
+    sched.on_stop_response(&repeated, true, Millis(LATE + 410));
+    let now = Millis(LATE + 500);
+    deliver_report(&mut sched, &worker_id(1), 2, now, WorkerReport::default());
+    let after = starts(&tick(&mut sched, LATE + 510));
+
+    assert_eq!((before.len(), after.len()), (0, 1));
+}
+
+/// Guards against a living worker that is given up: an answer of another process at an address that
+/// the worker has left says nothing about its present incarnation.
+#[test]
+fn an_answer_at_the_address_of_the_former_incarnation_ends_no_runs() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, 8000), Millis(LATE));
+    register(&mut sched, entry(1, 2, 8000, 8000), Millis(LATE + 50));
+    let spec = job("urgent", vec![step(1, 1000, 1000)]);
+    submit(&mut sched, "a", spec, Millis(LATE + 60));
+    let start = starts(&plan_and_commit(&mut sched, 1, Millis(LATE + 60))).remove(0);
+    respond(
+        &mut sched,
+        &start,
+        StartResponse::Started,
+        Millis(LATE + 70),
+    );
+    register(&mut sched, entry(2, 1, 8000, 8000), Millis(LATE + 75));
+
+    sched.mark_worker_dead(&worker_id(1), 1, Millis(LATE + 80));
+    let commands = tick(&mut sched, LATE + 100);
+
+    assert_eq!(starts(&commands).len(), 0);
+}
+
+/// Guards against a cool-down that outlives its cause: a worker that has started again is another
+/// process, perhaps of another kind.
+#[test]
+fn a_cool_down_ends_with_its_incarnation() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, 8000), Millis(LATE));
+    let spec = job("urgent", vec![step(1, 1000, 1000)]);
+    submit(&mut sched, "a", spec.clone(), Millis(LATE));
+    let start = starts(&plan_and_commit(&mut sched, 1, Millis(LATE))).remove(0);
+    respond(
+        &mut sched,
+        &start,
+        StartResponse::Refused,
+        Millis(LATE + 10),
+    );
+
+    register(&mut sched, entry(1, 2, 8000, 8000), Millis(LATE + 50));
+    submit(&mut sched, "b", spec, Millis(LATE + 60));
+    let started = starts(&plan_and_commit(&mut sched, 2, Millis(LATE + 60)));
+
+    assert_eq!(started.len(), 1);
+}
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -99,7 +99,7 @@
 
     for now in (0..12_000).step_by(250).map(Millis) {
         respond(&mut sched, &start, StartResponse::Unknown, now);
-        sched.on_poll_failure(&start.worker, "silent");
+        sched.on_poll_failure(&start.worker, start.incarnation, "silent");
         sched.tick(now);
         if now == Millis(3000) {
             register(&mut sched, entry(2, 2, 8000, 8000), now);
@@ -135,7 +135,7 @@
     respond(&mut sched, &start, StartResponse::Started, Millis(5));
     register(&mut sched, entry(2, 2, 8000, 8000), Millis(10));
 
-    sched.mark_worker_dead(&worker_id(1), Millis(20));
+    sched.mark_worker_dead(&worker_id(1), 1, Millis(20));
     let again = starts(&plan_and_commit(&mut sched, 2, Millis(20)));
 
     assert_eq!(again.len(), 1);
@@ -199,7 +199,7 @@
     );
 
     let stop = stops(&plan_and_commit(&mut sched, 2, Millis(10))).remove(0);
-    sched.on_stop_response(&stop.worker, &stop.task, stop.run, true, Millis(12));
+    sched.on_stop_response(&stop, true, Millis(12));
     let early = starts(&plan_and_commit(&mut sched, 3, Millis(13)));
     let end = completion(1, &stop.task, stop.run, RunOutcome::Interrupted);
     let report = WorkerReport {
@@ -504,7 +504,7 @@
     let stop = stops(&commands);
     let early = starts(&commands);
     for stop in &stop {
-        sched.on_stop_response(&stop.worker, &stop.task, stop.run, true, Millis(15));
+        sched.on_stop_response(stop, true, Millis(15));
     }
     deliver_report(
         &mut sched,
@@ -615,7 +615,7 @@
     let spec = job("urgent", vec![step(1, 1000, 1000), next]);
     submit(&mut sched, "a", spec, Millis(0));
     let (task, run) = start_all(&mut sched, 1, Millis(0)).remove(0);
-    sched.on_poll_failure(&worker_id(1), "silent");
+    sched.on_poll_failure(&worker_id(1), 1, "silent");
     let lapsed = Millis(7000);
     register(&mut sched, entry(2, 1, 8000, 8000), lapsed);
     sched.tick(lapsed);
--- a/tests/scheduler_late_completions.rs
+++ b/tests/scheduler_late_completions.rs
@@ -17,7 +17,7 @@
     let start = starts(&plan_and_commit(&mut sched, 1, Millis(0))).remove(0);
     respond(&mut sched, &start, StartResponse::Started, Millis(5));
     for now in (100..10_000).step_by(250).map(Millis) {
-        sched.on_poll_failure(&worker_id(1), "silent");
+        sched.on_poll_failure(&worker_id(1), 1, "silent");
         sched.tick(now);
     }
     register(&mut sched, entry(2, 1, 8000, 8000), Millis(10_000));
--- a/tests/scheduler_support/mod.rs
+++ b/tests/scheduler_support/mod.rs
@@ -12,12 +12,14 @@
 };
 
 pub const RUN_LEASE: Millis = Millis(5800);
+pub const LONGEST_LEASE: Millis = Millis(6000);
 pub const TAKEOVER_EXPIRY: Millis = Millis(11_700);
 pub const SERVICE: &str = "service";
 
 pub fn timing() -> Timing {
     Timing {
         run_lease: RUN_LEASE,
+        longest_lease: LONGEST_LEASE,
         takeover_expiry: TAKEOVER_EXPIRY,
         ended_retention: Millis(140_000),
         violation_after: Millis(4000),
@@ -149,7 +151,7 @@
 }
 
 pub fn respond(sched: &mut Scheduler, start: &StartCommand, response: StartResponse, now: Millis) {
-    sched.on_start_response(&start.worker, &start.task, start.run, response, now);
+    sched.on_start_response(start, response, now);
 }
 
 pub fn decode_record(value: &[u8]) -> JobRecord {
--- a/tests/scheduler_support/sim.rs
+++ b/tests/scheduler_support/sim.rs
@@ -425,6 +425,7 @@
         let known = self.workers[at].id.clone();
         let plan = term.sched.poll_plan(&known, now);
         let PollPlan::Call {
+            incarnation,
             fence,
             last_acknowledged,
             deadline,
@@ -434,12 +435,12 @@
             return;
         };
         if !self.reachable(term, at) {
-            term.sched.on_poll_failure(&known, "cut");
+            term.sched.on_poll_failure(&known, incarnation, "cut");
             return;
         }
         let worker = &mut self.workers[at];
         if fence < worker.fence {
-            term.sched.on_poll_failure(&known, "fenced");
+            term.sched.on_poll_failure(&known, incarnation, "fenced");
             return;
         }
         worker.fence = fence;
@@ -558,8 +559,7 @@
                         }
                     }
                 }
-                term.sched
-                    .on_stop_response(&stop.worker, &stop.task, stop.run, acknowledged, now);
+                term.sched.on_stop_response(&stop, acknowledged, now);
             }
             Command::Pace { .. } | Command::Advise(_) => {}
         }
