Let a successor know which leases are left after a change of the leader

Cause: a new leader assumed of each silent worker that the former leader had renewed its lease for 5.6 s after losing its key, and waited for the whole lease from then on; each further change began this anew. That the former leader's process had ended, and for how long a worker had been silent, was lost.

The store now names the leaders whose leases may not have ended, and the silent workers with the time that is left. A successor asks the former leaders to end their terms; a declared worker gets no renewal and no start before a write without it is durable. No lease outlasts the last renewal of the leader key by more than 8.1 s.

--- a/src/bench/leader.rs
+++ b/src/bench/leader.rs
@@ -141,7 +141,7 @@
         let timing = Timing {
             run_lease: Millis(5800),
             longest_lease: Millis(6000),
-            takeover_expiry: Millis(11_700),
+            former_leases: Millis(8300),
             ended_retention: Millis(140_000),
             violation_after: Millis(4000),
         };
--- a/src/entry/election.rs
+++ b/src/entry/election.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use super::config_watch::{GET_TIMEOUT, RETRY_PAUSE, WATCH_WAIT};
-use super::keys::LEADER;
+use super::keys::{LEADER, TERMS};
 use super::ports::{Change, Item, Transaction, TxnOutcome, WatchResponse};
 use super::shared::{LeaderInfo, Shared};
-use super::term::run_term;
+use super::term::{Claim, run_term};
+use super::terms::{FormerTerms, StoredTerms};
 use crate::prelude::*;
 
 /// Lease of the leader key. A successor can take over this long after a leader crashes.
@@ -16,8 +17,10 @@
 /// so that a short outage of the store ends no runs.
 pub(super) const STORE_OUTAGE_TOLERANCE: Millis = Millis(4000);
 
-/// Longest time after losing its key for which a former leader may still renew leases of workers.
-pub const FORMER_LEADER_RENEWAL_LIMIT: Millis = Millis(LEADER_LEASE.0 + STORE_OUTAGE_TOLERANCE.0);
+/// Time after the last renewal of its key beyond which a leader grants no lease to workers. Runs end
+/// then in an outage of the store; a longer time would keep the tasks of lost workers waiting longer
+/// when their leader is lost as well.
+pub const LEASE_HORIZON: Millis = Millis(LEADER_LEASE.0 + 6500);
 
 /// Timeout of a write of the leader key.
 const CLAIM_TIMEOUT: Millis = Millis(700);
@@ -180,22 +183,41 @@
         address: shared.cfg.peer.clone(),
         incarnation: shared.incarnation,
     };
-    let value = match rmp_serde::to_vec_named(&holder) {
-        Ok(value) => value,
+    let Ok(former) = StoredTerms::read(shared).await else {
+        return;
+    };
+    let terms = former.followed_by(holder.clone());
+    let encoded = rmp_serde::to_vec_named(&holder)
+        .and_then(|value| Ok((value, rmp_serde::to_vec_named(&terms)?)));
+    let (value, terms) = match encoded {
+        Ok(values) => values,
         Err(err) => {
-            tracing::error!(%err, "value of the leader key cannot be encoded; leadership is not claimed");
+            tracing::error!(%err, "leader key and terms cannot be encoded; leadership is not claimed");
             return;
         }
     };
     let txn = Transaction {
-        expected: vec![(LEADER.to_string(), 0)],
-        writes: vec![(LEADER.to_string(), value, lease)],
+        expected: vec![
+            (LEADER.to_string(), 0),
+            (TERMS.to_string(), former.revision),
+        ],
+        writes: vec![
+            (LEADER.to_string(), value, lease),
+            (TERMS.to_string(), terms, 0),
+        ],
         removes: Vec::new(),
     };
     let outcome = shared.store.commit(&txn, CLAIM_TIMEOUT).await;
     shared.record_store_call("commit", &outcome);
     if let Ok(TxnOutcome::Done(revision)) = outcome {
-        *shared.leader_info.write() = Some(holder);
-        run_term(shared, lease, revision, sent_at + ttl, ttl, cancel).await;
+        *shared.leader_info.write() = Some(holder.clone());
+        let claim = Claim {
+            lease,
+            fence: revision,
+            claimed_at: sent_at,
+            ttl,
+            info: holder,
+        };
+        run_term(shared, claim, FormerTerms::new(former, revision), cancel).await;
     }
 }
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -5,6 +5,10 @@
 /// Key that the leader holds; its revision is the fencing token.
 pub(super) const LEADER: &str = "sapphirecroft/leader";
 
+/// Key of what successors need to know of the terms of leaders. It does not begin with `LEADER`, which
+/// all processes watch as a prefix.
+pub(super) const TERMS: &str = "sapphirecroft/terms";
+
 /// Key of the leader's estimates of interference between tasks.
 pub(super) const INTERFERENCE: &str = "sapphirecroft/learned";
 
--- a/src/entry/leader.rs
+++ b/src/entry/leader.rs
@@ -6,7 +6,9 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use super::shared::Shared;
+use super::election::LEASE_HORIZON;
+use super::shared::{LeaderInfo, Shared};
+use super::terms::FormerTerms;
 use crate::prelude::*;
 use crate::scheduler::Scheduler;
 
@@ -19,6 +21,12 @@
     pub shared: Arc<Shared>,
     /// Fencing token: revision of the leader key.
     pub fence: u64,
+    /// How this leader is named in the store.
+    pub info: LeaderInfo,
+    /// What is known of the terms before.
+    pub terms: Mutex<FormerTerms>,
+    /// Wakes the writer of the terms.
+    pub terms_wake: Notify,
     pub sched: Mutex<Scheduler>,
     /// Wakes the committer.
     pub committer_wake: Notify,
@@ -37,12 +45,17 @@
     pub fn new(
         shared: Arc<Shared>,
         fence: u64,
+        info: LeaderInfo,
+        terms: FormerTerms,
         sched: Scheduler,
         term_ended: CancellationToken,
     ) -> Self {
         Self {
             shared,
             fence,
+            info,
+            terms: Mutex::new(terms),
+            terms_wake: Notify::new(),
             sched: Mutex::new(sched),
             committer_wake: Notify::new(),
             planner_wake: Notify::new(),
@@ -69,9 +82,11 @@
         Millis(self.valid_until.load(Ordering::Relaxed))
     }
 
-    /// Records that the lease is valid until this time.
-    pub fn extend(&self, until: Millis) {
-        let until = until.saturating_sub(LEASE_MARGIN);
+    /// Records that the lease of the leader key was granted or renewed by a call that was sent at
+    /// this time.
+    pub fn extend(&self, sent_at: Millis, ttl: Millis) {
+        self.sched.lock().limit_leases(sent_at + LEASE_HORIZON);
+        let until = (sent_at + ttl).saturating_sub(LEASE_MARGIN);
         self.valid_until.store(until.0, Ordering::Relaxed);
     }
 }
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -49,6 +49,8 @@
             wall,
         );
     }
+    let silent = std::mem::take(&mut leader.terms.lock().silent);
+    leader.sched.lock().restore_silence(&silent);
     let workers_at = load_workers(leader).await?;
     let estimates = leader.shared.store.get(INTERFERENCE, GET_TIMEOUT).await;
     leader.shared.record_store_call("get", &estimates);
--- a/src/entry/maintenance.rs
+++ b/src/entry/maintenance.rs
@@ -120,6 +120,7 @@
             sched.allow_starts(valid);
             sched.tick(now);
         });
+        leader.terms_wake.notify_one();
         let (jobs, workers, runs) = leader.sched.lock().summary();
         let known = &leader.shared.metrics.known;
         for (kind, count) in [("jobs", jobs), ("workers", workers), ("runs", runs)] {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -24,11 +24,12 @@
 mod settings;
 mod shared;
 mod term;
+mod terms;
 mod watches;
 
 pub use clock::{Clock, boot_clock};
 pub use daemon::EntryDaemon;
-pub use election::{FORMER_LEADER_RENEWAL_LIMIT, claim_delay};
+pub use election::{LEASE_HORIZON, claim_delay};
 pub use peers::{PeerCall, PeerResponse};
 pub use ports::{
     Change, Item, Page, PlatformFormat, PollError, PollRequest, StateStore, Transaction,
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -25,6 +25,11 @@
     State(JobId),
     /// Count the waiting jobs of a queue.
     Pending(String),
+    /// End all terms of leadership before the one with this fencing token.
+    EndTerms {
+        /// Fencing token of the present leader.
+        fence: u64,
+    },
 }
 
 /// Response of another entry process.
@@ -37,6 +42,11 @@
     State(Option<JobView>),
     /// Number of waiting jobs.
     Pending(usize),
+    /// This process renews no leases under an earlier fencing token.
+    TermsEnded {
+        /// Time since it may have done so last, or since its start.
+        ended_ago: Millis,
+    },
     /// This process does not lead.
     NotLeader,
 }
@@ -76,6 +86,7 @@
             PeerResponse::Change(jobs::submit(&shared, &id, &spec, false).await)
         }
         PeerCall::Cancel(id) => PeerResponse::Change(jobs::cancel(&shared, &id, false).await),
+        PeerCall::EndTerms { fence } => shared.end_terms_before(fence),
         PeerCall::State(id) => match shared.local_leader() {
             Some(leader) => PeerResponse::State(leader.sched.lock().view(&id)),
             None => PeerResponse::NotLeader,
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -16,6 +16,9 @@
 /// Polls a worker until the scheduler forgets it or the term ends.
 pub(super) async fn poll_worker(leader: Arc<Leader>, id: WorkerId, wake: Arc<Notify>) {
     loop {
+        if leader.term_ended.is_cancelled() {
+            return;
+        }
         let plan = {
             let now = leader.shared.clock.now();
             leader.sched.lock().poll_plan(&id, now)
@@ -50,8 +53,9 @@
         };
         let sent_at = leader.shared.clock.now();
         let report = tokio::select! {
-            report = leader.shared.workers.poll(&id, &request) => report,
+            biased;
             () = leader.term_ended.cancelled() => return,
+            report = leader.shared.workers.poll(&id, &request) => report,
         };
         match report {
             Ok(report) => {
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -7,7 +7,7 @@
 use super::leader::Leader;
 use super::metrics::EntryMetrics;
 use super::ports::{PlatformFormat, StateStore, WorkerCalls};
-use super::{Clock, EntrySettings};
+use super::{Clock, EntrySettings, PeerResponse};
 use crate::prelude::*;
 use crate::scheduler::{MAX_ENTRIES_AGE, QueueTable};
 use crate::web::Caller;
@@ -47,6 +47,10 @@
     pub leader_info: RwLock<Option<LeaderInfo>>,
     /// State of the current term, if this process leads.
     pub leader: RwLock<Option<Arc<Leader>>>,
+    /// Fencing token of the current term, also while it loads its state, and the signal that ends it.
+    pub term: RwLock<Option<(u64, CancellationToken)>>,
+    /// End of the last term, or start of the process.
+    term_ended_at: AtomicU64,
     /// Set when shutdown begins.
     pub shutting_down: AtomicBool,
     /// Time of the last response of the store.
@@ -68,6 +72,8 @@
     ) -> Self {
         Self {
             incarnation: clock.wall().0,
+            term: RwLock::new(None),
+            term_ended_at: AtomicU64::new(clock.now().0),
             cfg,
             store,
             workers,
@@ -142,6 +148,42 @@
             && self.is_store_available()
     }
 
+    /// Records that a term begins.
+    pub fn begin_term(&self, fence: u64, ended: CancellationToken) {
+        *self.term.write() = Some((fence, ended));
+    }
+
+    /// Records that the current term has ended: no call of it is made any more.
+    pub fn end_term(&self) {
+        *self.term.write() = None;
+        self.term_ended_at
+            .store(self.clock.now().0, Ordering::Relaxed);
+    }
+
+    /// Ends a term with a lower fencing token than `fence`, whose holder has taken over.
+    pub fn end_terms_before(&self, fence: u64) -> PeerResponse {
+        let ended_at = Millis(self.term_ended_at.load(Ordering::Relaxed));
+        match &*self.term.read() {
+            Some((own, _)) if *own > fence => PeerResponse::NotLeader,
+            Some((own, ended)) if *own < fence => {
+                if !ended.is_cancelled() {
+                    tracing::warn!(
+                        fence = own,
+                        successor = fence,
+                        "another process has taken over; leadership ends"
+                    );
+                    ended.cancel();
+                }
+                PeerResponse::TermsEnded {
+                    ended_ago: Millis::ZERO,
+                }
+            }
+            _ => PeerResponse::TermsEnded {
+                ended_ago: self.clock.now().since(ended_at),
+            },
+        }
+    }
+
     /// Returns the state of the current term if this process leads.
     pub fn local_leader(&self) -> Option<Arc<Leader>> {
         self.leader.read().clone()
--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -14,7 +14,8 @@
 use super::load::load_state;
 use super::maintenance::{log_queue_loads, remove_outdated_jobs, save_interference, tick};
 use super::ports::{Change, TxnOutcome, WatchResponse};
-use super::shared::Shared;
+use super::shared::{LeaderInfo, Shared};
+use super::terms::{FormerTerms, end_former_terms, remove_from_terms, write_terms};
 use super::watches::{watch_intake, watch_workers};
 use crate::prelude::*;
 use crate::scheduler::Scheduler;
@@ -27,30 +28,58 @@
 /// Timeout of one renewal.
 const RENEW_TIMEOUT: Millis = Millis(500);
 
+/// A claim of the leader key that the store has accepted.
+pub(super) struct Claim {
+    /// Lease of the key.
+    pub lease: u64,
+    /// Revision of the key, which is the fencing token of the term.
+    pub fence: u64,
+    /// Time at which the lease was requested.
+    pub claimed_at: Millis,
+    /// Length of the lease.
+    pub ttl: Millis,
+    /// Value of the key.
+    pub info: LeaderInfo,
+}
+
 /// Leads until the leader key is lost or `cancel` is triggered.
 pub(super) async fn run_term(
     shared: &Arc<Shared>,
-    lease: u64,
-    fence: u64,
-    valid_until: Millis,
-    ttl: Millis,
+    claim: Claim,
+    former: FormerTerms,
     cancel: &CancellationToken,
 ) {
+    let Claim {
+        lease,
+        fence,
+        claimed_at,
+        ttl,
+        info,
+    } = claim;
     let Some(queues) = shared.queues.read().clone() else {
         return;
     };
     let started_at = shared.clock.now();
     let timing = shared.cfg.timing.clone();
     let sched = Scheduler::new(timing, fence, queues, started_at);
-    let leader = Leader::new(shared.clone(), fence, sched, cancel.child_token());
+    let leader = Leader::new(
+        shared.clone(),
+        fence,
+        info,
+        former,
+        sched,
+        cancel.child_token(),
+    );
     let leader = Arc::new(leader);
-    leader.extend(valid_until);
+    leader.extend(claimed_at, ttl);
+    shared.begin_term(fence, leader.term_ended.clone());
     shared.metrics.leaderships.inc();
     tracing::info!(fence, "leadership taken");
     let busy_before = Activity::ALL.map(Activity::total);
     let mut tasks = JoinSet::new();
     tasks.spawn(Activity::Lease.measure(renew_lease(leader.clone(), lease, ttl)));
     tasks.spawn(Activity::Lease.measure(watch_key(leader.clone())));
+    tasks.spawn(Activity::Lease.measure(end_former_terms(leader.clone(), started_at)));
     let loaded = tokio::select! {
         loaded = Activity::Load.measure(load_state(&leader)) => loaded,
         () = leader.term_ended.cancelled() => None,
@@ -81,6 +110,7 @@
         tasks.spawn(Activity::Record.measure(save_interference(leader.clone())));
         tasks.spawn(Activity::Record.measure(remove_outdated_jobs(leader.clone())));
         tasks.spawn(Activity::Record.measure(run_committer(leader.clone())));
+        tasks.spawn(Activity::Record.measure(write_terms(leader.clone())));
         tasks.spawn(log_leader_load(leader.clone()));
         leader.dispatch();
         end_with_tasks(&leader, &mut tasks).await;
@@ -88,6 +118,7 @@
     *shared.leader.write() = None;
     leader.term_ended.cancel();
     tasks.shutdown().await;
+    shared.end_term();
     tracing::info!(fence, "leadership ended");
     if cancel.is_cancelled() {
         hand_over(&leader).await;
@@ -111,7 +142,10 @@
 
 /// Removes the leader key, so that a successor does not wait for the lease to expire.
 async fn hand_over(leader: &Leader) {
-    let removed = remove_leader_key(&leader.shared, leader.fence).await;
+    let removed = match remove_from_terms(leader).await {
+        Ok(TxnOutcome::Conflict(_)) => remove_leader_key(&leader.shared, leader.fence).await,
+        removed => removed,
+    };
     match removed {
         Ok(TxnOutcome::Done(_)) => tracing::info!(fence = leader.fence, "leadership handed over"),
         other => tracing::warn!(
@@ -131,7 +165,7 @@
         let renewed = shared.store.renew(lease, RENEW_TIMEOUT).await;
         shared.record_store_call("renew", &renewed);
         match renewed {
-            Ok(true) => leader.extend(sent + ttl),
+            Ok(true) => leader.extend(sent, ttl),
             Ok(false) => {
                 tracing::warn!(fence = leader.fence, "leader's lease has ended");
                 leader.term_ended.cancel();
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -6,9 +6,9 @@
 use serde::Deserialize;
 
 use super::config::round_to_u64;
-use crate::entry::{EntrySettings, FORMER_LEADER_RENEWAL_LIMIT};
+use crate::entry::{EntrySettings, LEASE_HORIZON};
 use crate::prelude::*;
-use crate::scheduler::Timing;
+use crate::scheduler::{Timing, with_clock_drift};
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -128,9 +128,7 @@
         timing: Timing {
             run_lease,
             longest_lease,
-            takeover_expiry: FORMER_LEADER_RENEWAL_LIMIT
-                + run_lease.scale_permille(1025)
-                + LEASE_MARGIN,
+            former_leases: with_clock_drift(LEASE_HORIZON),
             ended_retention: Millis(round_to_u64(file.bounds.status_s * 1000.0)) + RETENTION_MARGIN,
             violation_after: Millis(round_to_u64(file.bounds.impact_ms)),
         },
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -167,6 +167,10 @@
             self.put_back(id, key, "worker accepts no work", now);
             return;
         }
+        if worker.current.is_declared && run.state != RunState::Sent {
+            self.put_back(id, key, "worker is declared silent", now);
+            return;
+        }
         if !worker.has_room_to_start(key) {
             self.put_back(id, key, "capacity has shrunk", now);
             return;
--- a/src/scheduler/incarnation.rs
+++ b/src/scheduler/incarnation.rs
@@ -29,6 +29,8 @@
     pub reports: u64,
     /// Unanswered polls since the last report; at least 1 after an unanswered start.
     pub missed_polls: u32,
+    /// The store may declare the incarnation silent: its lease is not renewed, and nothing starts.
+    pub is_declared: bool,
     pub health: WorkerHealth,
     /// The last entry was that of a draining worker.
     pub leaving: bool,
--- a/src/scheduler/poll.rs
+++ b/src/scheduler/poll.rs
@@ -30,7 +30,10 @@
 
     /// Returns the next step of polling a worker.
     pub fn poll_plan(&mut self, id: &WorkerId, now: Millis) -> PollPlan {
-        let lease = self.timing.run_lease;
+        let lease = match self.lease_horizon {
+            Some(horizon) => self.timing.run_lease.min(horizon.since(now)),
+            None => self.timing.run_lease,
+        };
         let fence = self.fence;
         let poll_gap = self.poll_gap.of_fleet(self.workers.len());
         let Some(worker) = self.workers.get_mut(id) else {
@@ -53,7 +56,7 @@
             return PollPlan::Pause(IDLE_PAUSE);
         }
         // Polling an unresponsive worker must not delay the expiry of its runs.
-        let renews = is_fenced && worker.current.missed_polls == 0;
+        let renews = is_fenced && worker.current.missed_polls == 0 && !worker.current.is_declared;
         let clock = worker.current.lease.clock_at(now).filter(|_| renews);
         let deadline = clock.map(|clock| clock + lease);
         if let Some(deadline) = deadline {
@@ -72,7 +75,7 @@
             fence,
             last_acknowledged,
             deadline,
-            wait: if is_fenced && !waiting && worker.current.missed_polls == 0 {
+            wait: if renews && !waiting {
                 if worker.serving_runs > 0 && worker.best_effort_cpu.0 > 0 {
                     COLOCATION_POLL_WAIT
                 } else {
--- a/src/scheduler/run_lease.rs
+++ b/src/scheduler/run_lease.rs
@@ -4,12 +4,17 @@
 use crate::prelude::*;
 
 /// Tolerance for the rate of a worker's clock, in thousandths.
-pub(super) const CLOCK_DRIFT_PERMILLE: u64 = 25;
+const CLOCK_DRIFT_PERMILLE: u64 = 25;
 
 /// Longest time for which a call to the incarnation before may still be on its way when a new one
 /// is noticed: the timeout of a poll, which is the longest of all calls to a worker.
 const CALL_IN_FLIGHT_LIMIT: Millis = Millis(1500);
 
+/// Returns the longest time that a span on a worker's clock may take.
+pub const fn with_clock_drift(span: Millis) -> Millis {
+    span.scale_permille(1000 + CLOCK_DRIFT_PERMILLE)
+}
+
 /// The lease of the runs of one incarnation of a worker, by what this leader knows of it.
 ///
 /// A deadline is a time on the clock of the incarnation that answered, so only `Confirmed` has one.
@@ -82,19 +87,13 @@
         match self {
             Self::Inherited => inherited_end,
             Self::Begun { at } => {
-                let longest = timing.longest_lease;
-                *at + CALL_IN_FLIGHT_LIMIT + longest.scale_permille(1000 + CLOCK_DRIFT_PERMILLE)
+                *at + CALL_IN_FLIGHT_LIMIT + with_clock_drift(timing.longest_lease)
             }
             Self::Confirmed {
                 read_at,
                 clock,
                 end,
-            } => {
-                *read_at
-                    + end
-                        .since(*clock)
-                        .scale_permille(1000 + CLOCK_DRIFT_PERMILLE)
-            }
+            } => *read_at + with_clock_drift(end.since(*clock)),
             Self::Ended => Millis::ZERO,
         }
     }
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -11,6 +11,8 @@
 use super::poll_gap::PollGap;
 use super::record_queue::RecordQueue;
 use super::round::Resume;
+use super::run_lease::with_clock_drift;
+use super::silence::Silence;
 use super::trial::TrialQueue;
 use super::worker::{Run, RunState};
 use super::{
@@ -26,20 +28,32 @@
     pub run_lease: Millis,
     /// Longest lease that a worker accepts; it shortens a longer one.
     pub longest_lease: Millis,
-    /// Time after a takeover at which the runs of an unresponsive worker have expired, whatever the
-    /// former leader still did.
-    pub takeover_expiry: Millis,
+    /// Time after a takeover by which the leases that a former leader has granted have ended, also if
+    /// it does not know of its end.
+    pub former_leases: Millis,
     /// Time for which callers can query a job after its end.
     pub ended_retention: Millis,
     /// Time over its target after which a serving task's target counts as violated.
     pub violation_after: Millis,
 }
 
+impl Timing {
+    /// Returns the latest end of a lease that is granted at `at`.
+    pub fn lease_end(&self, at: Millis) -> Millis {
+        at + with_clock_drift(self.run_lease)
+    }
+}
+
 /// Decisions and state of one leader.
 pub struct Scheduler {
     pub(super) timing: Timing,
     pub(super) fence: u64,
     pub(super) took_over_at: Millis,
+    /// Time by which the leases that former leaders have granted have ended.
+    pub(super) inherited_until: Millis,
+    /// Time beyond which this leader grants no lease; `None` without a limit.
+    pub(super) lease_horizon: Option<Millis>,
+    pub(super) silence: Silence,
     pub(super) jobs: BTreeMap<JobId, Job>,
     pub(super) workers: BTreeMap<WorkerId, Worker>,
     pub(super) queues: Arc<QueueTable>,
@@ -81,6 +95,9 @@
     /// Creates the state of a leader that takes over at `now`.
     pub fn new(timing: Timing, fence: u64, queues: Arc<QueueTable>, now: Millis) -> Self {
         Self {
+            inherited_until: now + timing.former_leases,
+            lease_horizon: None,
+            silence: Silence::default(),
             timing,
             fence,
             took_over_at: now,
@@ -111,6 +128,16 @@
         self.counts
     }
 
+    /// Sets the time by which the leases of former leaders have ended, once it is known better.
+    pub fn inherit_until(&mut self, until: Millis) {
+        self.inherited_until = until;
+    }
+
+    /// Sets the time beyond which no lease is granted. Successors count on it.
+    pub fn limit_leases(&mut self, horizon: Millis) {
+        self.lease_horizon = Some(horizon);
+    }
+
     /// Sets whether the leader is authorised to send new starts.
     pub fn allow_starts(&mut self, allowed: bool) {
         self.replan |= allowed && !self.may_start;
@@ -180,11 +207,15 @@
 
     pub(super) fn worker(&mut self, id: &WorkerId, incarnation: u64) -> &mut Worker {
         let new_workers = &mut self.new_workers;
+        let silence = &self.silence;
         self.workers.entry(id.clone()).or_insert_with(|| {
             new_workers.push(id.clone());
             Worker {
                 id: id.clone(),
-                current: Incarnation::inherited(incarnation),
+                current: Incarnation {
+                    is_declared: silence.binds(id, incarnation),
+                    ..Incarnation::inherited(incarnation)
+                },
                 ..Worker::default()
             }
         })
--- a/src/scheduler/tick.rs
+++ b/src/scheduler/tick.rs
@@ -10,7 +10,7 @@
 
 /// Margin after the expiry of an unresponsive worker's runs, for the delay until the worker kills
 /// them.
-const EXPIRY_MARGIN: Millis = Millis(300);
+pub(super) const EXPIRY_MARGIN: Millis = Millis(300);
 
 /// A healthy run changes its progress percentage within this time plus a fifth of its estimate,
 /// which is twice the expected time of one progress step.
@@ -27,16 +27,12 @@
     }
 
     fn release_expired_runs(&mut self, now: Millis) {
-        let takeover = self.took_over_at + self.timing.takeover_expiry;
         let expired: Vec<WorkerId> = self
             .workers
             .values()
             .filter(|worker| !worker.runs.is_empty())
             .filter(|worker| worker.current.missed_polls > 0 || !worker.current.is_fenced())
-            .filter(|worker| {
-                let expires_at = worker.current.lease.expires_at(&self.timing, takeover);
-                now > expires_at + EXPIRY_MARGIN
-            })
+            .filter(|worker| now > self.runs_end_at(worker) + EXPIRY_MARGIN)
             .map(|worker| worker.id.clone())
             .collect();
         for id in expired {
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -244,7 +244,10 @@
     /// Returns whether the worker can be given runs now, apart from its free resources.
     pub(super) fn takes_runs(&self, now: Millis) -> bool {
         let current = &self.current;
-        let is_known = current.is_fenced() && !self.entry_is_old && current.missed_polls == 0;
+        let is_known = current.is_fenced()
+            && !self.entry_is_old
+            && !current.is_declared
+            && current.missed_polls == 0;
         let entry = self.entry.as_ref();
         is_known
             && !self.has_trial(now)
--- a/src/scheduler/worker_entries.rs
+++ b/src/scheduler/worker_entries.rs
@@ -69,7 +69,10 @@
         };
         tracing::info!(worker = %id, born = incarnation, runs = worker.runs.len(), "worker has started anew");
         let place = worker.placement();
-        worker.current = Incarnation::begun(incarnation, now);
+        worker.current = Incarnation {
+            is_declared: self.silence.binds(id, incarnation),
+            ..Incarnation::begun(incarnation, now)
+        };
         let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
         let mut freed = Vec::new();
         let mut stops = Vec::new();
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -269,3 +269,37 @@
 
     assert_started_once(&site, "00000000000000f1", 1);
 }
+
+/// Guards against tasks of a lost worker that stay away for long because each new leader begins to
+/// wait anew, and against two runs of a task: the worker is only cut off and runs on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_of_a_lost_worker_return_in_time_although_all_daemons_die_twice() {
+    /// Time from the last disturbance by which a task must run again.
+    const MOST: Duration = Duration::from_secs(7);
+    let mut site = Site::start("twice", 2, 3).await;
+    let body = one_step_job(20, 400);
+    let status = site.submit(0, "00000000000000b7", &body).await;
+    let lost = site.workers[0].clone();
+    eventually("the first worker has a run", || async { lost.runs("") }).await;
+
+    site.worker_links[0].cut(true, true);
+    site.store.remove(&format!("servers/{}", lost.id));
+    for pause in [500, 4500] {
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        for daemon in &mut site.daemons {
+            daemon.kill();
+            daemon.restart_if_exited();
+        }
+    }
+    let disturbed_at = std::time::Instant::now();
+    site.wait_for_state(1, "00000000000000b7", "completed")
+        .await;
+
+    assert_eq!(status, 200);
+    assert!(
+        disturbed_at.elapsed() < MOST,
+        "{} ms",
+        disturbed_at.elapsed().as_millis()
+    );
+    assert_eq!(site.observed.lock().violations, Vec::<String>::new());
+}
--- a/tests/scheduler_support/mod.rs
+++ b/tests/scheduler_support/mod.rs
@@ -13,6 +13,10 @@
 
 pub const RUN_LEASE: Millis = Millis(5800);
 pub const LONGEST_LEASE: Millis = Millis(6000);
+/// Time after the last renewal of its key beyond which a leader grants no lease.
+pub const LEASE_HORIZON: Millis = Millis(8100);
+pub const FORMER_LEASES: Millis = Millis(8303);
+/// Time after a takeover by which the leases of a former leader that nobody can ask have expired.
 pub const TAKEOVER_EXPIRY: Millis = Millis(11_700);
 pub const SERVICE: &str = "service";
 
@@ -20,7 +24,7 @@
     Timing {
         run_lease: RUN_LEASE,
         longest_lease: LONGEST_LEASE,
-        takeover_expiry: TAKEOVER_EXPIRY,
+        former_leases: FORMER_LEASES,
         ended_retention: Millis(140_000),
         violation_after: Millis(4000),
     }
--- a/tests/scheduler_support/sim.rs
+++ b/tests/scheduler_support/sim.rs
@@ -7,7 +7,7 @@
 use sapphirecroft::prelude::*;
 use sapphirecroft::scheduler::{
     Command, JobSpec, JobView, PollPlan, RunCompletion, RunOutcome, RunStatus, Scheduler,
-    StartCommand, StartResponse, TaskKey, WorkerReport,
+    SilentWorker, StartCommand, StartResponse, TaskKey, WorkerReport,
 };
 
 use super::*;
@@ -69,11 +69,15 @@
 pub struct Sim {
     rng: ChaCha8Rng,
     capacity_rng: ChaCha8Rng,
+    /// Decides which writes of silent workers get no answer, apart from all other choices.
+    silence_rng: ChaCha8Rng,
     now: u64,
     workers: Vec<SimWorker>,
     specs: BTreeMap<JobId, JobSpec>,
     cancelled: BTreeSet<JobId>,
     records: BTreeMap<JobId, (Vec<u8>, u64)>,
+    /// Workers that the leader has declared silent in the store.
+    silent: Vec<SilentWorker>,
     revision: u64,
     terms: Vec<Term>,
     delayed_starts: Vec<DelayedStart>,
@@ -103,11 +107,13 @@
         let mut sim = Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             capacity_rng: ChaCha8Rng::seed_from_u64(seed ^ CAPACITY_SEED),
+            silence_rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5e1f),
             now: 1000,
             workers,
             specs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             records: BTreeMap::new(),
+            silent: Vec::new(),
             revision: 10,
             terms: Vec::new(),
             delayed_starts: Vec::new(),
@@ -286,6 +292,7 @@
                 sched.cancel(id, Millis(now), Timestamp(now));
             }
         }
+        sched.restore_silence(&self.silent);
         self.terms.push(Term {
             sched,
             fence,
@@ -371,11 +378,20 @@
                 term.sched.remove_entry(&worker.id);
             }
         }
+        let key_renewed_at = term.replaced_at.unwrap_or(self.now);
+        term.sched
+            .limit_leases(Millis(key_renewed_at) + LEASE_HORIZON);
         term.sched.allow_starts(may_start);
         for at in 0..WORKERS {
             self.poll(term, at);
         }
         term.sched.tick(now);
+        if current && let Some(silent) = term.sched.silence_to_write(now) {
+            self.silent.clone_from(&silent);
+            if !self.silence_rng.random_bool(0.05) {
+                term.sched.on_silence_written(&silent, now);
+            }
+        }
         term.sched.plan(now);
         while let Some(batch) = term.sched.next_batch(1) {
             let lost = self.rng.random_bool(0.05);
