Name the processes that have crashed under a task in its record

Callers saw jobs shown as failed though no task had used up its attempts, and tasks that last without a run after their job was ended that way.

Cause: the record held the number of crashes. A count for a worker that was only cut off stayed for good when the leader changed before the worker answered, two leaders could count one crash, and a start without an answer counted like a crash under the run.

The record now names each process with the evidence. A process counts once, any leader takes its crash back when it answers, and a job is only given up with two certain crashes, four probable ones or one certain of five, and unless crashes are so frequent that chance explains them.

The users' load was not reproduced.

--- a/src/scheduler/completions.rs
+++ b/src/scheduler/completions.rs
@@ -2,7 +2,7 @@
 
 use super::crash::run_clears_task;
 use super::worker::Run;
-use super::{Phase, Placement, RunCompletion, RunOutcome, Scheduler};
+use super::{Crashes, Phase, Placement, RunCompletion, RunOutcome, Scheduler};
 use crate::prelude::*;
 
 impl Scheduler {
@@ -86,7 +86,7 @@
             && run_clears_task(end.outcome, run, now)
             && let Some(task) = job.task_mut(key)
         {
-            task.crashes = 0;
+            task.crashes = Crashes::default();
         }
         job.version += 1;
         self.dirty.insert(&key.job, now);
--- a/src/scheduler/crash.rs
+++ b/src/scheduler/crash.rs
@@ -1,7 +1,7 @@
 //! What follows for a task when workers crash under it.
 
 use super::worker::{Run, RunState};
-use super::{RunOutcome, TaskKey};
+use super::{Crash, Crashes, Evidence, RunOutcome, TaskKey};
 use crate::prelude::*;
 
 /// Time on one worker after which a run is not suspected of a crash, and its task no longer of
@@ -25,6 +25,26 @@
 /// Crashes in a row after which a task is given up whatever ran beside it.
 const CRASHES_TO_GIVE_UP: u32 = 4;
 
+/// Certain crashes without which a task is given up only after a longer series.
+const CERTAIN_CRASHES_TO_GIVE_UP: usize = 2;
+
+/// Probable crashes after which a task is given up although changes of the leader have hidden them.
+const PROBABLE_CRASHES_TO_GIVE_UP: usize = 4;
+
+/// Crashes after which a task is given up however often workers crash: it must not be started three
+/// times more after three crashes.
+const CRASHES_IN_ANY_CASE: u32 = 5;
+
+/// Largest probability that a sound task has met its crashes by chance, for it to be given up. A busy
+/// fleet runs some ten thousand tasks in the time that workers in a row take to crash.
+const MAX_COINCIDENCE: f64 = 1e-5;
+
+/// Time on the worker that is assumed for a run whose start is not known.
+const UNKNOWN_EXPOSURE: Millis = TRIAL_PERIOD;
+
+/// Age of the last report of a worker when it crashes, at most.
+const REPORT_AGE: Millis = Millis(1000);
+
 /// What follows from the crashes under a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Verdict {
@@ -36,17 +56,33 @@
     GiveUp,
 }
 
-/// Decides on a task after `crashes` workers in a row have crashed under it.
-pub(super) fn verdict(crashes: u32, alone: bool) -> Verdict {
-    if crashes >= CRASHES_TO_GIVE_UP || (alone && crashes >= CRASHES_TO_GIVE_UP_ALONE) {
+/// Decides on a task under which workers in a row have crashed, the last one while the task was
+/// `alone` if so. `crash_rate` is the number of crashes of one worker in a second, for all reasons.
+pub(super) fn verdict(crashes: &Crashes, alone: bool, crash_rate: f64) -> Verdict {
+    let count = crashes.count();
+    let certain = crashes.with(Evidence::Certain).count();
+    let probable = crashes.with(Evidence::Probable).count();
+    let is_blamed = count >= CRASHES_TO_GIVE_UP || (alone && count >= CRASHES_TO_GIVE_UP_ALONE);
+    let is_proved = certain >= CERTAIN_CRASHES_TO_GIVE_UP
+        || probable >= PROBABLE_CRASHES_TO_GIVE_UP
+        || (certain > 0 && count >= CRASHES_IN_ANY_CASE);
+    let is_no_chance =
+        count >= CRASHES_IN_ANY_CASE || coincidence(crashes, crash_rate) <= MAX_COINCIDENCE;
+    if is_blamed && is_proved && is_no_chance {
         Verdict::GiveUp
-    } else if needs_trial(crashes) {
+    } else if needs_trial(count) {
         Verdict::TryAlone
     } else {
         Verdict::Suspected
     }
 }
 
+/// Returns the probability that workers crash like this under a task that has no part in it.
+fn coincidence(crashes: &Crashes, crash_rate: f64) -> f64 {
+    let chance = |crash: &Crash| 1.0 - (-crash_rate * crash.exposure.0 as f64 / 1000.0).exp();
+    crashes.with(Evidence::Probable).map(chance).product()
+}
+
 /// Returns whether a task is tried alone after this number of crashes.
 pub(super) fn needs_trial(crashes: u32) -> bool {
     crashes >= CRASHES_TO_TRY_ALONE
@@ -68,6 +104,10 @@
     pub crashes: u32,
     /// Time from the start to the last report of the worker.
     pub survived: Millis,
+    /// What the crash of its worker would show.
+    pub evidence: Evidence,
+    /// Longest time for which the run was there.
+    pub exposure: Millis,
 }
 
 impl LostRun {
@@ -79,11 +119,21 @@
             RunState::Sent | RunState::Running => true,
             RunState::Stopping => run.settled_at.is_none(),
         };
+        let survived = last_report_at.since(run.started_at);
         (may_be_present && !run.left_over).then(|| Self {
             key: key.clone(),
             run: run.run,
             crashes: run.crashes,
-            survived: last_report_at.since(run.started_at),
+            survived,
+            evidence: match (run.was_seen, run.is_restored) {
+                (true, _) => Evidence::Certain,
+                (false, true) => Evidence::Probable,
+                (false, false) => Evidence::Possible,
+            },
+            exposure: match run.is_restored {
+                true => UNKNOWN_EXPOSURE.max(survived + REPORT_AGE),
+                false => survived + REPORT_AGE,
+            },
         })
     }
 
@@ -107,8 +157,6 @@
     pub runs: Vec<LostRun>,
     /// The crash came while the worker had the runs; a silent worker may first have been cut off.
     pub is_certain: bool,
-    /// The crash has been counted already.
-    pub is_counted: bool,
     pub at: Millis,
 }
 
--- a/src/scheduler/crash_tracker.rs
+++ b/src/scheduler/crash_tracker.rs
@@ -1,15 +1,18 @@
 //! Notices crashes of workers and counts them for the tasks that ran there.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::crash::{LostRun, LostWorker, Verdict, verdict};
-use super::{Job, Phase, Scheduler, TaskKey, WorkerEntry};
+use super::{Crash, Crashes, Evidence, Job, Phase, Placement, Scheduler, TaskKey, WorkerEntry};
 use crate::prelude::*;
 
 /// Time for which a silent worker and a crashed address are remembered; a crashed worker is back
 /// within a few seconds.
 const REMEMBERED_FOR: Millis = Millis(30_000);
 
+/// The incarnation of a worker.
+type Life = (WorkerId, u64);
+
 /// Crashes and silent workers of the last seconds.
 #[derive(Debug, Default)]
 pub(super) struct CrashTracker {
@@ -17,6 +20,8 @@
     silent: BTreeMap<WorkerId, LostWorker>,
     /// Time of the last crash at each address.
     crashed_at: HashMap<String, Millis>,
+    /// Tasks whose records name a process that has not answered since.
+    counted: HashMap<Life, BTreeSet<TaskKey>>,
 }
 
 impl CrashTracker {
@@ -65,6 +70,21 @@
         self.crashed_at.insert(address.to_string(), now);
     }
 
+    /// Remembers which processes the record of a task names.
+    pub fn remember_counted(&mut self, key: &TaskKey, crashes: &Crashes) {
+        for place in crashes.places() {
+            let life = (place.worker.clone(), place.incarnation);
+            self.counted.entry(life).or_default().insert(key.clone());
+        }
+    }
+
+    /// Returns the crashes of one worker in a second, from those of the last seconds.
+    fn crash_rate(&self, workers: usize, now: Millis) -> f64 {
+        let recent = |at: &&Millis| now.since(**at) < REMEMBERED_FOR;
+        let crashes = self.crashed_at.values().filter(recent).count().max(1);
+        crashes as f64 / workers.max(1) as f64 / (REMEMBERED_FOR.0 as f64 / 1000.0)
+    }
+
     /// Returns whether a worker at this address has crashed lately.
     pub fn has_crashed(&self, address: &str, now: Millis) -> bool {
         self.crashed_at
@@ -87,24 +107,30 @@
                 .filter_map(|(key, run)| LostRun::new(key, run, worker.current.last_report_at))
                 .collect(),
             is_certain: true,
-            is_counted: false,
             at: now,
         })
     }
 
     /// Takes back what was counted for a silent worker that answers again.
     pub(super) fn note_returned(&mut self, id: &WorkerId, incarnation: u64, now: Millis) {
-        let Some(lost) = self.crashes.take_returned(id, incarnation) else {
+        self.crashes.take_returned(id, incarnation);
+        let life = (id.clone(), incarnation);
+        let Some(tasks) = self.crashes.counted.remove(&life) else {
             return;
         };
-        for suspect in lost.suspects().filter(|_| lost.is_counted) {
-            if let Some(job) = self.jobs.get_mut(&suspect.key.job)
-                && let Some(task) = job.task_mut(&suspect.key)
-                && task.crashes > 0
+        let place = Placement {
+            worker: life.0,
+            incarnation,
+        };
+        for key in tasks {
+            if let Some(job) = self.jobs.get_mut(&key.job)
+                && job.is_active()
+                && let Some(task) = job.task_mut(&key)
+                && task.crashes.take_back(&place)
             {
-                task.crashes -= 1;
+                tracing::info!(task = %key, worker = %id, incarnation, crashes = task.crashes.count(), "worker answers; its crash is taken back");
                 job.version += 1;
-                self.dirty.insert(&suspect.key.job, now);
+                self.dirty.insert(&key.job, now);
             }
         }
     }
@@ -125,7 +151,6 @@
         if worker.entry.is_none() {
             // After a change of the leader its address is unknown, and nothing else would show
             // that it has crashed.
-            lost.is_counted = true;
             self.count_crash(&lost, now);
         }
         self.crashes.remember_silent(lost);
@@ -142,62 +167,60 @@
             self.crashes
                 .take_replaced(&entry.id, &entry.address, entry.incarnation, now);
         for lost in &replaced {
-            self.count_silent(lost, now);
+            self.count_replaced(lost, now);
         }
     }
 
     /// Counts the crash of a worker at whose address another incarnation has answered.
     pub(super) fn count_dead(&mut self, id: &WorkerId, lost: Option<LostWorker>, now: Millis) {
         if let Some(silent) = self.crashes.silent.remove(id) {
-            self.count_silent(&silent, now);
+            self.count_replaced(&silent, now);
         }
         if let Some(lost) = lost {
             self.count_crash(&lost, now);
         }
     }
 
-    /// Counts the crash of a silent worker that is known to be gone, unless it has been counted; in
-    /// that case only what follows from it is left to decide.
-    fn count_silent(&mut self, lost: &LostWorker, now: Millis) {
-        if !lost.is_counted {
-            self.count_crash(lost, now);
-            return;
-        }
-        for suspect in lost.suspects() {
-            let job = self.jobs.get_mut(&suspect.key.job);
-            let task = job.and_then(|job| job.task_mut(&suspect.key));
-            let crashes = task
-                .filter(|task| !task.done)
-                .map_or(0, |task| task.crashes);
-            if verdict(crashes, lost.is_only_suspect(suspect)) == Verdict::GiveUp {
-                self.give_up(lost, suspect, crashes, now);
-            }
-        }
+    /// Counts the crash of a silent worker whose place another process has taken.
+    fn count_replaced(&mut self, lost: &LostWorker, now: Millis) {
+        let is_replaced = true;
+        self.count_crash_with(lost, is_replaced, now);
     }
 
     /// Fails the job of a task that crashes its workers.
-    fn give_up(&mut self, lost: &LostWorker, suspect: &LostRun, crashes: u32, now: Millis) {
+    fn give_up(&mut self, lost: &LostWorker, suspect: &LostRun, crashes: &Crashes, now: Millis) {
         let key = &suspect.key;
         if !self.jobs.get(&key.job).is_some_and(Job::is_active) {
             return;
         }
-        tracing::warn!(task = %key, run = suspect.run, worker = %lost.id, crashes, alone = lost.is_only_suspect(suspect), "task crashes its workers and is given up");
+        tracing::warn!(task = %key, run = suspect.run, worker = %lost.id, ?crashes, alone = lost.is_only_suspect(suspect), "task crashes its workers and is given up");
         let wall = self.wall_at(now);
         self.end_job(&key.job, Phase::Failed, now, wall);
     }
 
     /// Counts the crash of a worker for the tasks that may have caused it.
     pub(super) fn count_crash(&mut self, lost: &LostWorker, now: Millis) {
+        self.count_crash_with(lost, lost.is_certain, now);
+    }
+
+    fn count_crash_with(&mut self, lost: &LostWorker, is_replaced: bool, now: Millis) {
         self.crashes.record_crash(&lost.address, now);
         let suspects = lost.suspects().count();
-        tracing::warn!(worker = %lost.id, born = lost.incarnation, runs = lost.runs.len(), suspects, "worker has crashed");
+        tracing::warn!(worker = %lost.id, born = lost.incarnation, runs = lost.runs.len(), suspects, certain = is_replaced, "worker has crashed");
         for suspect in lost.suspects() {
-            self.count_crash_under(lost, suspect, now);
+            self.count_crash_under(lost, suspect, is_replaced, now);
         }
     }
 
-    fn count_crash_under(&mut self, lost: &LostWorker, suspect: &LostRun, now: Millis) {
+    fn count_crash_under(
+        &mut self,
+        lost: &LostWorker,
+        suspect: &LostRun,
+        is_replaced: bool,
+        now: Millis,
+    ) {
         let key = &suspect.key;
+        let crash_rate = self.crashes.crash_rate(self.workers.len(), now);
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.is_active()) else {
             return;
         };
@@ -207,17 +230,30 @@
         else {
             return;
         };
-        task.crashes += 1;
-        let crashes = task.crashes;
+        let evidence = match is_replaced {
+            true => suspect.evidence,
+            false => Evidence::Possible,
+        };
+        let crash = Crash {
+            place: Placement {
+                worker: lost.id.clone(),
+                incarnation: lost.incarnation,
+            },
+            evidence,
+            exposure: suspect.exposure,
+        };
+        if !task.crashes.add(crash) {
+            return;
+        }
+        let crashes = task.crashes.clone();
         job.version += 1;
         self.dirty.insert(&key.job, now);
+        self.crashes.remember_counted(key, &crashes);
         let alone = lost.is_only_suspect(suspect);
-        match verdict(crashes, alone) {
-            Verdict::Suspected => {}
-            Verdict::GiveUp if !lost.is_counted => self.give_up(lost, suspect, crashes, now),
-            Verdict::TryAlone | Verdict::GiveUp => {
-                tracing::info!(task = %key, run = suspect.run, worker = %lost.id, crashes, alone, "task is suspected of crashing workers");
-            }
+        let verdict = verdict(&crashes, alone, crash_rate);
+        tracing::info!(task = %key, run = suspect.run, worker = %lost.id, incarnation = lost.incarnation, crashes = crashes.count(), certain = crashes.with(Evidence::Certain).count(), ?evidence, alone, exposure_ms = suspect.exposure.0, crash_rate, ?verdict, "crash is counted under a task");
+        if verdict == Verdict::GiveUp {
+            self.give_up(lost, suspect, &crashes, now);
         }
     }
 
@@ -225,9 +261,9 @@
     pub(super) fn clear_crashes(&mut self, key: &TaskKey, now: Millis) {
         if let Some(job) = self.jobs.get_mut(&key.job)
             && let Some(task) = job.task_mut(key)
-            && task.crashes > 0
+            && !task.crashes.is_empty()
         {
-            task.crashes = 0;
+            task.crashes = Crashes::default();
             job.version += 1;
             self.dirty.insert(&key.job, now);
         }
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -2,7 +2,7 @@
 
 use super::record::JobRecordRef;
 use super::waits::Waits;
-use super::{JobRecord, JobSpec, Placement, StepSpec, TaskKey, TaskRecord};
+use super::{Crashes, JobRecord, JobSpec, Placement, StepSpec, TaskKey, TaskRecord};
 use crate::prelude::*;
 
 /// Phase of a job.
@@ -209,6 +209,17 @@
             .then_some(instance)
     }
 
+    /// Returns the tasks under which workers have crashed.
+    pub(super) fn crashed_tasks(&self) -> impl Iterator<Item = (TaskKey, &Crashes)> {
+        let instances = self.instances.iter().enumerate();
+        instances.flat_map(move |(at, instance)| {
+            let tasks = instance.tasks.iter().enumerate();
+            tasks
+                .filter(|(_, task)| !task.crashes.is_empty())
+                .map(move |(index, task)| (self.key(at, index), &task.crashes))
+        })
+    }
+
     pub(super) fn task_mut(&mut self, key: &TaskKey) -> Option<&mut TaskRecord> {
         let instance = self.instance_of(key)?;
         self.instances[instance].tasks.get_mut(key.index as usize)
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -141,7 +141,7 @@
         let mut preemption = None;
         for index in open {
             let failures = job.instances[instance].tasks[index].failures;
-            let crashes = job.instances[instance].tasks[index].crashes;
+            let crashes = job.instances[instance].tasks[index].crashes.count();
             let request = PlacementRequest {
                 step,
                 service: &queue.service,
--- a/src/scheduler/record.rs
+++ b/src/scheduler/record.rs
@@ -1,6 +1,6 @@
 //! Durable state of a job, written before a run starts and before a completion is acknowledged.
 
-use super::Phase;
+use super::{Crashes, Phase};
 use crate::prelude::*;
 
 /// State of a job that the store keeps besides its specification.
@@ -39,14 +39,10 @@
     pub place: Option<Placement>,
     /// Checkpoint from which the next run resumes; empty if there is none.
     pub checkpoint: String,
-    /// Number of workers in a row that crashed under the task. The last field, since a record
-    /// without crashes ends before it.
-    #[serde(default, skip_serializing_if = "is_zero")]
-    pub crashes: u32,
-}
-
-fn is_zero(number: &u32) -> bool {
-    *number == 0
+    /// Workers in a row that crashed under the task. The last field, since a record without crashes
+    /// ends before it.
+    #[serde(default, skip_serializing_if = "Crashes::is_empty")]
+    pub crashes: Crashes,
 }
 
 /// The incarnation of a worker that a run is placed on.
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -194,12 +194,16 @@
                 run.settled_at = Some(Millis::ZERO);
                 run.in_trial = needs_trial(run.crashes) && !job.step(instance).gang;
                 let key = job.key(instance, index);
+                run.is_restored = true;
                 let worker = self.worker(&place.worker, place.incarnation);
                 worker.add_run(key, run);
             }
         }
         if job.is_active() {
             self.active.insert(id.clone());
+            for (key, crashes) in job.crashed_tasks() {
+                self.crashes.remember_counted(&key, crashes);
+            }
         }
         self.jobs.insert(id, job);
         self.replan = true;
@@ -388,7 +392,7 @@
     let step = job.step(instance);
     let task = &job.instances[instance].tasks[index];
     Run {
-        crashes: task.crashes,
+        crashes: task.crashes.count(),
         best_effort: step.best_effort,
         long_running: step.long_running,
         priority,
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -85,6 +85,10 @@
     pub crashes: u32,
     /// The task is tried alone: its worker takes no other new runs for a while.
     pub in_trial: bool,
+    /// The worker has acknowledged the start or listed the run.
+    pub was_seen: bool,
+    /// Taken from a record: a former leader may have started the run, at an unknown time.
+    pub is_restored: bool,
     /// Left over from the incarnation before, whose end has been counted.
     pub left_over: bool,
 }
@@ -110,6 +114,7 @@
     /// Takes over what the report with this number says of the run.
     pub fn note_status(&mut self, status: &RunStatus, report: u64, now: Millis) {
         self.listed = true;
+        self.was_seen = true;
         self.listed_in = report;
         if self.state == RunState::Sent {
             self.state = RunState::Running;
@@ -150,6 +155,8 @@
             slack: SlackEstimate::default(),
             crashes: 0,
             in_trial: false,
+            was_seen: false,
+            is_restored: false,
             left_over: false,
         }
     }
--- a/src/scheduler/worker_events.rs
+++ b/src/scheduler/worker_events.rs
@@ -81,7 +81,7 @@
             job.started = true;
             let active = job.is_active();
             if let Some(task) = job.task_mut(&status.task) {
-                crashes = task.crashes;
+                crashes = task.crashes.count();
                 wanted = active && !task.done && task.run == status.run;
                 let is_newer =
                     !status.checkpoint.is_empty() && task.checkpoint != status.checkpoint;
@@ -169,6 +169,7 @@
         }
         match response {
             StartResponse::Started => {
+                run.was_seen = true;
                 if run.state == RunState::Sent {
                     run.state = RunState::Running;
                     run.settled_at = Some(now);
