Say on the crash of a worker whether another process has replaced it, and name the terms in the docs

No change of behaviour: the flag of a lost worker that said two things is split, and the key of an incarnation stands once. The random model, the crash, takeover and incarnation cases pass.

--- a/src/scheduler/crash.rs
+++ b/src/scheduler/crash.rs
@@ -156,7 +156,9 @@
     /// Runs that had been started.
     pub runs: Vec<LostRun>,
     /// The crash came while the worker had the runs; a silent worker may first have been cut off.
-    pub is_certain: bool,
+    pub has_runs: bool,
+    /// Another process has taken the place of the worker.
+    pub is_replaced: bool,
     pub at: Millis,
 }
 
@@ -169,6 +171,6 @@
     /// Returns whether no other run can have crashed the worker.
     pub fn is_only_suspect(&self, suspect: &LostRun) -> bool {
         let mut others = self.runs.iter().filter(|run| run.key != suspect.key);
-        self.is_certain && others.all(LostRun::is_settled)
+        self.has_runs && others.all(LostRun::is_settled)
     }
 }
--- a/src/scheduler/crash_tracker.rs
+++ b/src/scheduler/crash_tracker.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::crash::{LostRun, LostWorker, Verdict, verdict};
+use super::incarnation::Life;
 use super::{Crash, Crashes, Evidence, Job, Phase, Placement, Scheduler, TaskKey, WorkerEntry};
 use crate::prelude::*;
 
@@ -10,9 +11,6 @@
 /// within a few seconds.
 const REMEMBERED_FOR: Millis = Millis(30_000);
 
-/// The incarnation of a worker.
-type Life = (WorkerId, u64);
-
 /// Crashes and silent workers of the last seconds.
 #[derive(Debug, Default)]
 pub(super) struct CrashTracker {
@@ -106,7 +104,8 @@
                 .iter()
                 .filter_map(|(key, run)| LostRun::new(key, run, worker.current.last_report_at))
                 .collect(),
-            is_certain: true,
+            has_runs: true,
+            is_replaced: true,
             at: now,
         })
     }
@@ -147,7 +146,8 @@
             self.count_crash(&lost, now);
             return;
         }
-        lost.is_certain = false;
+        lost.has_runs = false;
+        lost.is_replaced = false;
         if worker.entry.is_none() {
             // After a change of the leader its address is unknown, and nothing else would show
             // that it has crashed.
@@ -183,8 +183,11 @@
 
     /// Counts the crash of a silent worker whose place another process has taken.
     fn count_replaced(&mut self, lost: &LostWorker, now: Millis) {
-        let is_replaced = true;
-        self.count_crash_with(lost, is_replaced, now);
+        let replaced = LostWorker {
+            is_replaced: true,
+            ..lost.clone()
+        };
+        self.count_crash(&replaced, now);
     }
 
     /// Fails the job of a task that crashes its workers.
@@ -200,25 +203,15 @@
 
     /// Counts the crash of a worker for the tasks that may have caused it.
     pub(super) fn count_crash(&mut self, lost: &LostWorker, now: Millis) {
-        self.count_crash_with(lost, lost.is_certain, now);
-    }
-
-    fn count_crash_with(&mut self, lost: &LostWorker, is_replaced: bool, now: Millis) {
         self.crashes.record_crash(&lost.address, now);
         let suspects = lost.suspects().count();
-        tracing::warn!(worker = %lost.id, born = lost.incarnation, runs = lost.runs.len(), suspects, certain = is_replaced, "worker has crashed");
+        tracing::warn!(worker = %lost.id, born = lost.incarnation, runs = lost.runs.len(), suspects, replaced = lost.is_replaced, "worker has crashed");
         for suspect in lost.suspects() {
-            self.count_crash_under(lost, suspect, is_replaced, now);
+            self.count_crash_under(lost, suspect, now);
         }
     }
 
-    fn count_crash_under(
-        &mut self,
-        lost: &LostWorker,
-        suspect: &LostRun,
-        is_replaced: bool,
-        now: Millis,
-    ) {
+    fn count_crash_under(&mut self, lost: &LostWorker, suspect: &LostRun, now: Millis) {
         let key = &suspect.key;
         let crash_rate = self.crashes.crash_rate(self.workers.len(), now);
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.is_active()) else {
@@ -230,7 +223,7 @@
         else {
             return;
         };
-        let evidence = match is_replaced {
+        let evidence = match lost.is_replaced {
             true => suspect.evidence,
             false => Evidence::Possible,
         };
--- a/src/scheduler/incarnation.rs
+++ b/src/scheduler/incarnation.rs
@@ -6,6 +6,9 @@
 use super::worker_health::WorkerHealth;
 use crate::prelude::*;
 
+/// An incarnation of a worker, by the id of the worker and the start time of the process.
+pub(super) type Life = (WorkerId, u64);
+
 /// Everything that is known of one process of a worker. A worker that starts again under its id has
 /// a clock, a lease and sequence numbers of its own, so the whole state is replaced.
 #[derive(Clone, Debug, Default)]
--- a/src/scheduler/silence.rs
+++ b/src/scheduler/silence.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::Scheduler;
+use super::incarnation::Life;
 use super::tick::EXPIRY_MARGIN;
 use super::worker::Worker;
 use crate::prelude::*;
@@ -36,9 +37,6 @@
     pub expires_in: Millis,
 }
 
-/// The incarnation of a worker.
-type Life = (WorkerId, u64);
-
 #[derive(Clone, Debug)]
 struct Declaration {
     address: String,
