--- a/review/standin-2/handover.rs
+++ b/review/standin-2/handover.rs
@@ -52,7 +52,9 @@
             }));
         }
         site.sleep_until(began_ms + STOP_AFTER_MS);
-        site.terminate_leader()?;
+        if trouble {
+            site.terminate_leader()?;
+        }
         site.sleep_until(began_ms + LOSS_FOR_MS);
         site.store.lose(None);
         site.sleep_until(began_ms + CUT_FOR_MS);
