--- a/src/entry/election.rs
+++ b/src/entry/election.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
+use super::claim::{Claim, remove_leader_key};
 use super::config_watch::{GET_TIMEOUT, RETRY_PAUSE, WATCH_WAIT};
-use super::keys::{LEADER, TERMS};
-use super::ports::{Change, Item, Transaction, TxnOutcome, WatchResponse};
+use super::keys::LEADER;
+use super::ports::{Change, Item, TxnOutcome, WatchResponse};
 use super::shared::{LeaderInfo, Shared};
-use super::term::{Claim, run_term};
-use super::terms::{FormerTerms, StoredTerms};
+use super::term::run_term;
 use crate::prelude::*;
 
 /// Lease of the leader key. A successor can take over this long after a leader crashes.
@@ -22,9 +22,6 @@
 /// when their leader is lost as well.
 pub const LEASE_HORIZON: Millis = Millis(LEADER_LEASE.0 + 6500);
 
-/// Timeout of a write of the leader key.
-const CLAIM_TIMEOUT: Millis = Millis(700);
-
 /// Number of different delays before a claim, so that processes do not all claim at once.
 const CLAIM_DELAY_STEPS: u64 = 8;
 
@@ -45,42 +42,8 @@
 /// Watches the leader key and claims it while nobody holds it. After `cancel` is triggered it
 /// claims no more.
 pub(super) async fn run_elections(shared: Arc<Shared>, cancel: CancellationToken) {
-    let mut after = None;
-    loop {
-        let Some(at) = after else {
-            after = read_leader(&shared, &cancel).await;
-            if after.is_none() {
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
-            continue;
-        };
-        let watch = shared.store.watch(LEADER, at, WATCH_WAIT).await;
-        shared.record_store_call("watch", &watch);
-        after = match watch {
-            // Without a leader the key is read again and claimed.
-            Ok(WatchResponse::Changes(changes, at)) if changes.is_empty() => {
-                shared.leader_info.read().is_some().then_some(at)
-            }
-            Ok(WatchResponse::Changes(changes, at)) => {
-                let last = changes.into_iter().next_back();
-                match last {
-                    Some(Change::Put(item)) if !is_stale(&shared, &item) => {
-                        set_leader(&shared, Some(&item));
-                        Some(at)
-                    }
-                    _ => {
-                        set_leader(&shared, None);
-                        None
-                    }
-                }
-            }
-            Ok(WatchResponse::Compacted) => None,
-            Err(_) => {
-                tokio::time::sleep(RETRY_PAUSE).await;
-                None
-            }
-        };
-    }
+    let election = Election { shared, cancel };
+    election.run().await;
 }
 
 /// Returns the delay before a claim. Larger VMs claim first, because the work of a leader is CPU
@@ -94,55 +57,109 @@
         + Duration::from_secs_f64(size_deficit * SMALL_VM_DELAY_S)
 }
 
-/// Reads the leader key and claims it if nobody holds it. Returns the revision to watch from.
-async fn read_leader(shared: &Arc<Shared>, cancel: &CancellationToken) -> Option<u64> {
-    let read = shared.store.get(LEADER, GET_TIMEOUT).await;
-    shared.record_store_call("get", &read);
-    let (item, at) = read.ok()?;
-    if let Some(item) = item {
-        if !is_stale(shared, &item) {
-            set_leader(shared, Some(&item));
-            return Some(at.max(item.revision));
+/// What this process does about the leader key.
+struct Election {
+    shared: Arc<Shared>,
+    cancel: CancellationToken,
+}
+
+impl Election {
+    async fn run(&self) {
+        let mut after = None;
+        loop {
+            let Some(at) = after else {
+                after = self.read_leader().await;
+                if after.is_none() {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+                continue;
+            };
+            let watch = self.shared.store.watch(LEADER, at, WATCH_WAIT).await;
+            self.shared.record_store_call("watch", &watch);
+            after = match watch {
+                // Without a leader the key is read again and claimed.
+                Ok(WatchResponse::Changes(changes, at)) if changes.is_empty() => {
+                    let is_led = self.shared.leader_info.read().is_some();
+                    is_led.then_some(at)
+                }
+                Ok(WatchResponse::Changes(changes, at)) => {
+                    let followed = self.follow(changes.into_iter().next_back());
+                    followed.then_some(at)
+                }
+                Ok(WatchResponse::Compacted) => None,
+                Err(_) => {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                    None
+                }
+            };
         }
-        // The key belongs to an earlier process at this address, which has exited.
-        let removed = remove_leader_key(shared, item.revision).await;
-        removed.ok()?;
-    }
-    set_leader(shared, None);
-    if shared.queues.read().is_none() {
-        return None;
     }
-    if cancel.is_cancelled() {
-        return Some(at);
+
+    /// Applies the last change of the leader key; returns whether another process leads now.
+    fn follow(&self, change: Option<Change>) -> bool {
+        let item = match change {
+            Some(Change::Put(item)) if !self.is_predecessor(&item) => Some(item),
+            _ => None,
+        };
+        set_leader(&self.shared, item.as_ref());
+        item.is_some()
     }
-    tokio::time::sleep(claim_delay(&shared.cfg.peer, shared.cfg.processors)).await;
-    let read = shared.store.get(LEADER, GET_TIMEOUT).await;
-    shared.record_store_call("get", &read);
-    if let (None, _) = read.ok()? {
-        claim(shared, cancel).await;
+
+    /// Returns whether the holder is a process that was at the address of this one before.
+    fn is_predecessor(&self, item: &Item) -> bool {
+        decode(item).is_some_and(|info| {
+            info.address == self.shared.cfg.peer && info.incarnation != self.shared.incarnation
+        })
     }
-    None
-}
 
-/// Removes the leader key if it still has this revision.
-pub(super) async fn remove_leader_key(
-    shared: &Shared,
-    revision: u64,
-) -> Result<TxnOutcome, StoreError> {
-    let txn = Transaction {
-        expected: vec![(LEADER.to_string(), revision)],
-        removes: vec![LEADER.to_string()],
-        ..Transaction::default()
-    };
-    let removed = shared.store.commit(&txn, CLAIM_TIMEOUT).await;
-    shared.record_store_call("commit", &removed);
-    removed
-}
+    /// Reads the leader key and claims it if nobody holds it. Returns the revision to watch from.
+    async fn read_leader(&self) -> Option<u64> {
+        let shared = self.shared.clone();
+        let read = shared.store.get(LEADER, GET_TIMEOUT).await;
+        shared.record_store_call("get", &read);
+        let (item, at) = read.ok()?;
+        if let Some(item) = item {
+            if !self.is_predecessor(&item) {
+                set_leader(&shared, Some(&item));
+                return Some(at.max(item.revision));
+            }
+            let removed = remove_leader_key(&shared, item.revision).await;
+            removed.ok()?;
+        }
+        set_leader(&shared, None);
+        if shared.queues.read().is_none() {
+            return None;
+        }
+        if self.cancel.is_cancelled() {
+            return Some(at);
+        }
+        tokio::time::sleep(claim_delay(&shared.cfg.peer, shared.cfg.processors)).await;
+        let read = shared.store.get(LEADER, GET_TIMEOUT).await;
+        shared.record_store_call("get", &read);
+        if let (None, _) = read.ok()? {
+            self.claim().await;
+        }
+        None
+    }
 
-fn is_stale(shared: &Shared, item: &Item) -> bool {
-    decode(item).is_some_and(|holder| {
-        holder.address == shared.cfg.peer && holder.incarnation != shared.incarnation
-    })
+    /// Claims the leader key, and leads if the claim takes effect.
+    async fn claim(&self) {
+        let Some(claim) = Claim::prepare(&self.shared).await else {
+            return;
+        };
+        match claim.write(&self.shared).await {
+            Ok(TxnOutcome::Done(revision)) => {
+                run_term(&self.shared, claim, revision, &self.cancel).await;
+            }
+            Err(StoreError::AnswerLost(err)) => {
+                tracing::info!(claim = %claim.info.claim, err, "claim of the leader key is not answered");
+            }
+            outcome => {
+                tracing::debug!(claim = %claim.info.claim, ?outcome, "claim of the leader key was refused");
+                self.shared.claims.lock().withdraw(claim.info.claim);
+            }
+        }
+    }
 }
 
 fn decode(item: &Item) -> Option<LeaderInfo> {
@@ -169,55 +186,3 @@
     }
     *current = holder;
 }
-
-async fn claim(shared: &Arc<Shared>, cancel: &CancellationToken) {
-    let ttl = LEADER_LEASE.max(shared.cfg.shortest_lease);
-    let sent_at = shared.clock.now();
-    let lease = shared.store.grant(ttl).await;
-    shared.record_store_call("grant", &lease);
-    let Ok(lease) = lease else {
-        return;
-    };
-    let holder = LeaderInfo {
-        vm: shared.cfg.name.clone(),
-        address: shared.cfg.peer.clone(),
-        incarnation: shared.incarnation,
-    };
-    let Ok(former) = StoredTerms::read(shared).await else {
-        return;
-    };
-    let terms = former.followed_by(holder.clone());
-    let encoded = rmp_serde::to_vec_named(&holder)
-        .and_then(|value| Ok((value, rmp_serde::to_vec_named(&terms)?)));
-    let (value, terms) = match encoded {
-        Ok(values) => values,
-        Err(err) => {
-            tracing::error!(%err, "leader key and terms cannot be encoded; leadership is not claimed");
-            return;
-        }
-    };
-    let txn = Transaction {
-        expected: vec![
-            (LEADER.to_string(), 0),
-            (TERMS.to_string(), former.revision),
-        ],
-        writes: vec![
-            (LEADER.to_string(), value, lease),
-            (TERMS.to_string(), terms, 0),
-        ],
-        removes: Vec::new(),
-    };
-    let outcome = shared.store.commit(&txn, CLAIM_TIMEOUT).await;
-    shared.record_store_call("commit", &outcome);
-    if let Ok(TxnOutcome::Done(revision)) = outcome {
-        *shared.leader_info.write() = Some(holder.clone());
-        let claim = Claim {
-            lease,
-            fence: revision,
-            claimed_at: sent_at,
-            ttl,
-            info: holder,
-        };
-        run_term(shared, claim, FormerTerms::new(former, revision), cancel).await;
-    }
-}
--- a/src/entry/leader.rs
+++ b/src/entry/leader.rs
@@ -7,8 +7,9 @@
 use tokio::sync::Notify;
 
 use super::election::LEASE_HORIZON;
+use super::former_terms::FormerTerms;
 use super::shared::{LeaderInfo, Shared};
-use super::terms::FormerTerms;
+
 use crate::prelude::*;
 use crate::scheduler::Scheduler;
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,12 +4,15 @@
 //! leader, `scheduler::plan` assigns its tasks, `committer` writes the record, `dispatch` sends the
 //! start commands, and `poll` reads the ends of runs.
 
+mod claim;
+mod claim_history;
 mod clock;
 mod committer;
 mod config_watch;
 mod daemon;
 mod dispatch;
 mod election;
+mod former_terms;
 mod frontend;
 mod jobs;
 mod keys;
@@ -23,8 +26,12 @@
 mod ports;
 mod settings;
 mod shared;
+mod stored_terms;
 mod term;
+mod term_end;
 mod terms;
+#[cfg(test)]
+mod tests;
 mod watches;
 
 pub use clock::{Clock, boot_clock};
@@ -36,3 +43,4 @@
     TxnOutcome, WatchResponse, WorkerCalls,
 };
 pub use settings::EntrySettings;
+pub use term_end::TermEnd;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -3,6 +3,7 @@
 use async_trait::async_trait;
 use http::StatusCode;
 
+use super::TermEnd;
 use super::jobs::{self, ChangeOutcome};
 use super::shared::Shared;
 use crate::prelude::*;
@@ -25,8 +26,13 @@
     State(JobId),
     /// Count the waiting jobs of a queue.
     Pending(String),
-    /// End all terms of leadership before the one with this fencing token.
-    EndTerms {
+    /// End the term of one claim of the leader key, and all others before the one with this fencing
+    /// token.
+    EndTerm {
+        /// Incarnation of the process that made the claim.
+        incarnation: u64,
+        /// Number of the claim.
+        claim: ClaimNumber,
         /// Fencing token of the present leader.
         fence: u64,
     },
@@ -42,12 +48,9 @@
     State(Option<JobView>),
     /// Number of waiting jobs.
     Pending(usize),
-    /// This process renews no leases under an earlier fencing token.
-    TermsEnded {
-        /// Time since it may have done so last, or since its start.
-        ended_ago: Millis,
-    },
-    /// This process does not lead.
+    /// What became of the claim; this process renews no leases under an earlier fencing token.
+    TermEnd(TermEnd),
+    /// This process does not lead; as an answer to `EndTerm`, it leads under a later fencing token.
     NotLeader,
 }
 
@@ -86,7 +89,13 @@
             PeerResponse::Change(jobs::submit(&shared, &id, &spec, false).await)
         }
         PeerCall::Cancel(id) => PeerResponse::Change(jobs::cancel(&shared, &id, false).await),
-        PeerCall::EndTerms { fence } => shared.end_terms_before(fence),
+        PeerCall::EndTerm {
+            incarnation,
+            claim,
+            fence,
+        } => shared
+            .end_for_successor(incarnation, claim, fence)
+            .map_or(PeerResponse::NotLeader, PeerResponse::TermEnd),
         PeerCall::State(id) => match shared.local_leader() {
             Some(leader) => PeerResponse::State(leader.sched.lock().view(&id)),
             None => PeerResponse::NotLeader,
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -2,12 +2,13 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 
+use super::claim_history::ClaimHistory;
 use super::leader::Leader;
 use super::metrics::EntryMetrics;
 use super::ports::{PlatformFormat, StateStore, WorkerCalls};
-use super::{Clock, EntrySettings, PeerResponse};
+use super::{Clock, EntrySettings, TermEnd};
 use crate::prelude::*;
 use crate::scheduler::{MAX_ENTRIES_AGE, QueueTable};
 use crate::web::Caller;
@@ -18,9 +19,10 @@
 /// Time after the end of an outage within which workers have written their entries again.
 const ENTRIES_RETURN_TIME: Millis = Millis(2500);
 
-/// Value of the leader key: the process that leads.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Value of the leader key: the process that leads, and by which of its claims.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
 pub(super) struct LeaderInfo {
     /// Name of the leader's VM.
     pub vm: String,
@@ -28,6 +30,8 @@
     pub address: String,
     /// Incarnation of the leader's process.
     pub incarnation: u64,
+    /// Number of the claim; zero from builds that did not number their claims.
+    pub claim: ClaimNumber,
 }
 
 /// Settings, clients and common state of the daemon.
@@ -47,10 +51,8 @@
     pub leader_info: RwLock<Option<LeaderInfo>>,
     /// State of the current term, if this process leads.
     pub leader: RwLock<Option<Arc<Leader>>>,
-    /// Fencing token of the current term, also while it loads its state, and the signal that ends it.
-    pub term: RwLock<Option<(u64, CancellationToken)>>,
-    /// End of the last term, or start of the process.
-    term_ended_at: AtomicU64,
+    /// Claims of this process, and what became of them.
+    pub claims: Mutex<ClaimHistory>,
     /// Set when shutdown begins.
     pub shutting_down: AtomicBool,
     /// Time of the last response of the store.
@@ -70,10 +72,10 @@
         clock: Clock,
         metrics: EntryMetrics,
     ) -> Self {
+        let incarnation = clock.wall().0;
         Self {
-            incarnation: clock.wall().0,
-            term: RwLock::new(None),
-            term_ended_at: AtomicU64::new(clock.now().0),
+            incarnation,
+            claims: Mutex::new(ClaimHistory::new(incarnation, clock.now())),
             cfg,
             store,
             workers,
@@ -148,40 +150,17 @@
             && self.is_store_available()
     }
 
-    /// Records that a term begins.
-    pub fn begin_term(&self, fence: u64, ended: CancellationToken) {
-        *self.term.write() = Some((fence, ended));
-    }
-
-    /// Records that the current term has ended: no call of it is made any more.
-    pub fn end_term(&self) {
-        *self.term.write() = None;
-        self.term_ended_at
-            .store(self.clock.now().0, Ordering::Relaxed);
-    }
-
-    /// Ends a term with a lower fencing token than `fence`, whose holder has taken over.
-    pub fn end_terms_before(&self, fence: u64) -> PeerResponse {
-        let ended_at = Millis(self.term_ended_at.load(Ordering::Relaxed));
-        match &*self.term.read() {
-            Some((own, _)) if *own > fence => PeerResponse::NotLeader,
-            Some((own, ended)) if *own < fence => {
-                if !ended.is_cancelled() {
-                    tracing::warn!(
-                        fence = own,
-                        successor = fence,
-                        "another process has taken over; leadership ends"
-                    );
-                    ended.cancel();
-                }
-                PeerResponse::TermsEnded {
-                    ended_ago: Millis::ZERO,
-                }
-            }
-            _ => PeerResponse::TermsEnded {
-                ended_ago: self.clock.now().since(ended_at),
-            },
-        }
+    /// Ends the term of a claim on behalf of the holder of `fence`, which has taken over. Returns
+    /// `None` if a later term of this process goes on.
+    pub fn end_for_successor(
+        &self,
+        incarnation: u64,
+        claim: ClaimNumber,
+        fence: u64,
+    ) -> Option<TermEnd> {
+        let now = self.clock.now();
+        let mut claims = self.claims.lock();
+        claims.end_for_successor(incarnation, claim, fence, now)
     }
 
     /// Returns the state of the current term if this process leads.
--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -4,18 +4,20 @@
 
 use tokio::task::JoinSet;
 
+use super::claim::{Claim, remove_leader_key};
 use super::committer::run_committer;
 use super::config_watch::{RETRY_PAUSE, WATCH_WAIT};
 use super::dispatch::run_planner;
-use super::election::{STORE_OUTAGE_TOLERANCE, remove_leader_key};
+use super::election::STORE_OUTAGE_TOLERANCE;
+use super::former_terms::FormerTerms;
 use super::keys::LEADER;
 use super::leader::Leader;
 use super::leader_load::{busy_text, log_leader_load};
 use super::load::load_state;
 use super::maintenance::{log_queue_loads, remove_outdated_jobs, save_interference, tick};
 use super::ports::{Change, TxnOutcome, WatchResponse};
-use super::shared::{LeaderInfo, Shared};
-use super::terms::{FormerTerms, end_former_terms, remove_from_terms, write_terms};
+use super::shared::Shared;
+use super::terms::{end_former_terms, write_hand_over, write_terms};
 use super::watches::{watch_intake, watch_workers};
 use crate::prelude::*;
 use crate::scheduler::Scheduler;
@@ -28,58 +30,49 @@
 /// Timeout of one renewal.
 const RENEW_TIMEOUT: Millis = Millis(500);
 
-/// A claim of the leader key that the store has accepted.
-pub(super) struct Claim {
-    /// Lease of the key.
-    pub lease: u64,
-    /// Revision of the key, which is the fencing token of the term.
-    pub fence: u64,
-    /// Time at which the lease was requested.
-    pub claimed_at: Millis,
-    /// Length of the lease.
-    pub ttl: Millis,
-    /// Value of the key.
-    pub info: LeaderInfo,
-}
-
-/// Leads until the leader key is lost or `cancel` is triggered.
+/// Leads under a claim that has taken effect, until the leader key is lost or `cancel` is triggered.
+/// `fence` is the revision of the key.
 pub(super) async fn run_term(
     shared: &Arc<Shared>,
     claim: Claim,
-    former: FormerTerms,
+    fence: u64,
     cancel: &CancellationToken,
 ) {
     let Claim {
+        info,
         lease,
-        fence,
         claimed_at,
         ttl,
-        info,
+        former,
     } = claim;
     let Some(queues) = shared.queues.read().clone() else {
         return;
     };
+    let number = info.claim;
+    let term_ended = cancel.child_token();
+    let has_begun = shared
+        .claims
+        .lock()
+        .begin(number, fence, term_ended.clone());
+    if !has_begun {
+        tracing::info!(fence, claim = %number, "claim was withdrawn for a successor; it does not become a term");
+        return;
+    }
+    *shared.leader_info.write() = Some(info.clone());
     let started_at = shared.clock.now();
+    let former = FormerTerms::new(former, fence, started_at);
     let timing = shared.cfg.timing.clone();
     let sched = Scheduler::new(timing, fence, queues, started_at);
-    let leader = Leader::new(
-        shared.clone(),
-        fence,
-        info,
-        former,
-        sched,
-        cancel.child_token(),
-    );
+    let leader = Leader::new(shared.clone(), fence, info, former, sched, term_ended);
     let leader = Arc::new(leader);
     leader.extend(claimed_at, ttl);
-    shared.begin_term(fence, leader.term_ended.clone());
     shared.metrics.leaderships.inc();
-    tracing::info!(fence, "leadership taken");
+    tracing::info!(fence, claim = %number, "leadership taken");
     let busy_before = Activity::ALL.map(Activity::total);
     let mut tasks = JoinSet::new();
     tasks.spawn(Activity::Lease.measure(renew_lease(leader.clone(), lease, ttl)));
     tasks.spawn(Activity::Lease.measure(watch_key(leader.clone())));
-    tasks.spawn(Activity::Lease.measure(end_former_terms(leader.clone(), started_at)));
+    tasks.spawn(Activity::Lease.measure(end_former_terms(leader.clone())));
     let loaded = tokio::select! {
         loaded = Activity::Load.measure(load_state(&leader)) => loaded,
         () = leader.term_ended.cancelled() => None,
@@ -118,7 +111,7 @@
     *shared.leader.write() = None;
     leader.term_ended.cancel();
     tasks.shutdown().await;
-    shared.end_term();
+    shared.claims.lock().end(number, shared.clock.now());
     tracing::info!(fence, "leadership ended");
     if cancel.is_cancelled() {
         hand_over(&leader).await;
@@ -142,7 +135,7 @@
 
 /// Removes the leader key, so that a successor does not wait for the lease to expire.
 async fn hand_over(leader: &Leader) {
-    let removed = match remove_from_terms(leader).await {
+    let removed = match write_hand_over(leader).await {
         Ok(TxnOutcome::Conflict(_)) => remove_leader_key(&leader.shared, leader.fence).await,
         removed => removed,
     };
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -17,5 +17,6 @@
 pub use millis::Millis;
 pub use resources::Resources;
 pub use units::{
-    Accelerators, Attempt, Epoch, Mebibytes, Millicores, Permille, Revision, Timestamp, Version,
+    Accelerators, Attempt, ClaimNumber, Epoch, Mebibytes, Millicores, Permille, Revision,
+    Timestamp, Version,
 };
--- a/src/model/units.rs
+++ b/src/model/units.rs
@@ -42,6 +42,11 @@
     Attempt,
     u32
 );
+number!(
+    /// Number of a claim of the leader key among those of one entry process, starting at one.
+    ClaimNumber,
+    u64
+);
 number!(
     /// Wall-clock time in milliseconds since the Unix epoch. Records hold it, but no decision
     /// depends on it.
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -315,6 +315,18 @@
         .await;
     }
 
+    /// Waits until a daemon leads; returns its index.
+    pub async fn leader(&self) -> usize {
+        let named = || {
+            let value = self.store.value("sapphirecroft/leader")?;
+            let name = |at: &usize| format!("edge-{at}").into_bytes();
+            let names = |at: &usize| value.windows(name(at).len()).any(|part| part == name(at));
+            (0..self.daemons.len()).find(names)
+        };
+        eventually("a daemon leads", || async { named().is_some() }).await;
+        named().expect("a leader")
+    }
+
     /// Returns the task and run number of every start that the workers have executed.
     pub fn starts(&self) -> Vec<(String, u64)> {
         self.workers
--- a/tests/platform_support/store.rs
+++ b/tests/platform_support/store.rs
@@ -17,6 +17,9 @@
 /// Interval at which a waiting watch checks for changes.
 const WATCH_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Key that the leading daemon holds.
+const LEADER_KEY: &str = "sapphirecroft/leader";
+
 #[derive(Clone)]
 struct Item {
     value: String,
@@ -32,6 +35,8 @@
     leases: HashMap<u64, (Instant, Duration)>,
     down: bool,
     drop_write_responses: usize,
+    /// Claims of the leader key that are executed without a response.
+    drop_claim_responses: usize,
     /// Every second read of a page is refused.
     refuse_pages: bool,
     page_reads: usize,
@@ -86,6 +91,16 @@
         self.state.lock().drop_write_responses = count;
     }
 
+    /// Executes the next `count` claims of the leader key without responding to them.
+    pub fn drop_claim_responses(&self, count: usize) {
+        self.state.lock().drop_claim_responses = count;
+    }
+
+    /// Returns the number of claims whose responses are still to be dropped.
+    pub fn claim_responses_to_drop(&self) -> usize {
+        self.state.lock().drop_claim_responses
+    }
+
     /// Refuses every second read of a page from now on.
     pub fn refuse_every_second_page(&self) {
         self.state.lock().refuse_pages = true;
@@ -98,6 +113,19 @@
         state.history.clear();
     }
 
+    /// Returns the revision of an item, or 0 if there is none.
+    pub fn revision(&self, key: &str) -> u64 {
+        let state = self.state.lock();
+        state.items.get(key).map_or(0, |item| item.rev)
+    }
+
+    /// Returns the value of an item.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let state = self.state.lock();
+        let item = state.items.get(key)?;
+        STANDARD.decode(&item.value).ok()
+    }
+
     /// Removes a key in place of its writer.
     pub fn remove(&self, key: &str) {
         self.state.lock().remove(key);
@@ -193,6 +221,10 @@
         for key in removes.iter().filter_map(Value::as_str) {
             self.remove(key);
         }
+        if self.drop_claim_responses > 0 && writes.iter().any(|row| row["key"] == LEADER_KEY) {
+            self.drop_claim_responses -= 1;
+            return None;
+        }
         if self.drop_write_responses > 0 {
             self.drop_write_responses -= 1;
             return None;
