Move the token bucket of the eviction budget to admission

The limit on cancellations of unknown jobs needs the same bucket. The rate has a period instead of being one per hour; the test checks what it checked before.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -1,5 +1,5 @@
 //! Admission control of requests: queues by class and team, guaranteed shares, wait estimates and
-//! concurrency limits.
+//! concurrency limits. Token buckets limit other work as well.
 
 mod class_queue;
 mod concurrency_limit;
@@ -7,6 +7,7 @@
 mod rate_meter;
 mod refusal;
 mod service_queue;
+mod token_bucket;
 
 pub use class_queue::ClassQueue;
 pub use concurrency_limit::ConcurrencyLimit;
@@ -14,3 +15,4 @@
 pub use rate_meter::RateMeter;
 pub use refusal::Refusal;
 pub use service_queue::{QueueEntry, ServiceQueue, SlotCounts};
+pub use token_bucket::TokenBucket;
--- a/src/placement/budget.rs
+++ b/src/admission/token_bucket.rs
@@ -1,23 +1,24 @@
-//! Token bucket that limits evictions.
+//! Token bucket that limits how often something happens.
 
 use crate::prelude::*;
 
-const MS_PER_HOUR: f64 = 3_600_000.0;
-
-/// A token bucket in which one token allows one eviction.
+/// A token bucket in which one token allows one event.
 #[derive(Clone, Debug)]
-pub struct EvictionBudget {
-    per_hour: f64,
+pub struct TokenBucket {
+    /// Tokens that are gained in each period.
+    rate: f64,
+    period: Millis,
     burst: f64,
     tokens: f64,
     refilled_at: Millis,
 }
 
-impl EvictionBudget {
+impl TokenBucket {
     /// Creates a full bucket.
-    pub fn new(per_hour: f64, burst: f64, now: Millis) -> Self {
+    pub fn new(rate: f64, period: Millis, burst: f64, now: Millis) -> Self {
         Self {
-            per_hour,
+            rate,
+            period,
             burst,
             tokens: burst,
             refilled_at: now,
@@ -25,9 +26,9 @@
     }
 
     /// Sets the limits. Tokens above the new burst are discarded.
-    pub fn set_limits(&mut self, per_hour: f64, burst: f64, now: Millis) {
+    pub fn set_limits(&mut self, rate: f64, burst: f64, now: Millis) {
         self.refill(now);
-        self.per_hour = per_hour;
+        self.rate = rate;
         self.burst = burst;
         self.tokens = self.tokens.min(burst);
     }
@@ -43,8 +44,8 @@
     }
 
     fn refill(&mut self, now: Millis) {
-        let gained = now.since(self.refilled_at).0 as f64 * self.per_hour / MS_PER_HOUR;
-        self.tokens = (self.tokens + gained).min(self.burst);
+        let periods = now.since(self.refilled_at).0 as f64 / self.period.0 as f64;
+        self.tokens = (self.tokens + periods * self.rate).min(self.burst);
         self.refilled_at = self.refilled_at.max(now);
     }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -3,7 +3,6 @@
 
 mod agents;
 mod attempt_entry;
-mod budget;
 mod choose;
 mod fleet;
 mod free_index;
@@ -14,7 +13,6 @@
 mod worker_ledger;
 
 pub use agents::DueCommand;
-pub use budget::EvictionBudget;
 pub use fleet::Fleet;
 pub use free_index::{FreeIndex, WorkerSlot, splitmix64};
 pub use interference::{Interference, Kind, Loads};
--- a/src/placement/owner.rs
+++ b/src/placement/owner.rs
@@ -4,12 +4,12 @@
 use std::collections::BTreeMap;
 
 use super::attempt_entry::{AttemptEntry, Phase, ended};
-use super::budget::EvictionBudget;
 use super::fleet::Fleet;
 use super::free_index::{FreeIndex, WorkerSlot};
 use super::interference::Interference;
 use super::lease::lease_expiry_bound;
 use super::worker_ledger::WorkerLedger;
+use crate::admission::TokenBucket;
 use crate::batch::{shard_of_job, split_task};
 use crate::bundle::BundleInForce;
 use crate::membership::Ownership;
@@ -35,6 +35,9 @@
 /// Half-life of interference estimates until the first bundle sets it.
 const DEFAULT_HALF_LIFE: Millis = Millis(1_800_000);
 
+/// Period of the rate of the eviction budget.
+const EVICTION_PERIOD: Millis = Millis::from_secs(3600);
+
 /// The rack owner role of an entry process.
 pub struct RackOwner {
     pub(super) ownership: Arc<dyn Ownership>,
@@ -46,7 +49,7 @@
     pub(super) index: FreeIndex,
     pub(super) interference: Interference,
     pub(super) bundle: Option<Arc<BundleInForce>>,
-    pub(super) budget: EvictionBudget,
+    pub(super) budget: TokenBucket,
     /// State of the generator that samples candidates.
     pub(super) random: u64,
     /// Number of the last command.
@@ -68,7 +71,7 @@
             index: FreeIndex::default(),
             interference: Interference::new(DEFAULT_HALF_LIFE),
             bundle: None,
-            budget: EvictionBudget::new(0.0, 0.0, Millis::ZERO),
+            budget: TokenBucket::new(0.0, EVICTION_PERIOD, 0.0, Millis::ZERO),
             random: seed,
             commands_sent: 0,
             reservation_slots: BTreeMap::new(),
--- a/tests/batch_decisions.rs
+++ b/tests/batch_decisions.rs
@@ -6,8 +6,9 @@
 use std::collections::BTreeMap;
 
 use batch_support::id;
+use sapphirecroft::admission::TokenBucket;
 use sapphirecroft::batch::{SelectedTask, TeamShares, WaitingJob, select_tasks};
-use sapphirecroft::placement::{EvictionBudget, FreeIndex, Interference, splitmix64};
+use sapphirecroft::placement::{FreeIndex, Interference, splitmix64};
 use sapphirecroft::prelude::*;
 use sapphirecroft::schema::batch::TeamUse;
 use sapphirecroft::schema::bundle::TeamSpec;
@@ -161,7 +162,7 @@
 /// Guards against evictions beyond the burst and the hourly rate of the budget.
 #[test]
 fn evictions_stay_within_burst_and_rate() {
-    let mut budget = EvictionBudget::new(60.0, 2.0, Millis::ZERO);
+    let mut budget = TokenBucket::new(60.0, Millis::from_secs(3600), 2.0, Millis::ZERO);
 
     let burst = (0..5).filter(|_| budget.take(Millis(1))).count();
     let hour = (1..=3600).filter(|s| budget.take(Millis(s * 1000))).count();
