--- a/src/entry/frontend.rs
+++ b/src/entry/frontend.rs
@@ -55,7 +55,7 @@
             .spawn(handle(shared, table, name, request))
             .await
         {
-            Ok((status, body)) => json_response(status, body),
+            Ok(answer) => json_response(answer),
             Err(err) => {
                 tracing::error!(%err, "request handler failed; the outcome of the request is unknown");
                 text(StatusCode::GATEWAY_TIMEOUT, "outcome unknown")
@@ -96,14 +96,36 @@
     }
 }
 
+/// An answer to a caller.
+struct Answer {
+    status: StatusCode,
+    body: Vec<u8>,
+    /// A refusal says when to come back.
+    may_retry: bool,
+}
+
+impl Answer {
+    fn new(status: StatusCode, body: Vec<u8>) -> Self {
+        let refusals = [
+            StatusCode::SERVICE_UNAVAILABLE,
+            StatusCode::TOO_MANY_REQUESTS,
+        ];
+        Self {
+            status,
+            body,
+            may_retry: refusals.contains(&status),
+        }
+    }
+}
+
 async fn handle(
     shared: Arc<Shared>,
     table: Arc<QueueTable>,
     queue: String,
     request: CallerRequest,
-) -> (StatusCode, Vec<u8>) {
+) -> Answer {
     let started = shared.clock.now();
-    let (verb, (status, body)) = match &request {
+    let (verb, answer) = match &request {
         CallerRequest::Submit(id, body) => {
             ("submit", submit(&shared, &table, &queue, id, body).await)
         }
@@ -111,6 +133,7 @@
         CallerRequest::Cancel(id) => ("cancel", cancel(&shared, id).await),
         CallerRequest::Pending => ("pending", pending(&shared, &queue).await),
     };
+    let status = answer.status;
     let took = shared.clock.now().since(started);
     shared
         .metrics
@@ -136,7 +159,7 @@
             "request answered"
         );
     }
-    (status, body)
+    answer
 }
 
 async fn submit(
@@ -145,12 +168,12 @@
     queue: &str,
     id: &JobId,
     body: &[u8],
-) -> (StatusCode, Vec<u8>) {
+) -> Answer {
     let mut spec = match shared.platform_format.job(body) {
         Ok(spec) => spec,
         Err(err) => {
             tracing::info!(job = %id, queue, %err, config = table.version, "submitted job is invalid; it is rejected");
-            return (StatusCode::BAD_REQUEST, err.into_bytes());
+            return Answer::new(StatusCode::BAD_REQUEST, err.into_bytes());
         }
     };
     spec.queue = queue.to_string();
@@ -158,51 +181,60 @@
     change_response(jobs::submit(shared, id, &spec, true).await)
 }
 
-async fn cancel(shared: &Shared, id: &JobId) -> (StatusCode, Vec<u8>) {
+async fn cancel(shared: &Shared, id: &JobId) -> Answer {
     change_response(jobs::cancel(shared, id, true).await)
 }
 
-fn change_response(outcome: ChangeOutcome) -> (StatusCode, Vec<u8>) {
+fn change_response(outcome: ChangeOutcome) -> Answer {
     let status = match outcome {
         ChangeOutcome::Stored => StatusCode::OK,
-        ChangeOutcome::Refused => StatusCode::SERVICE_UNAVAILABLE,
+        ChangeOutcome::Refused | ChangeOutcome::Withdrawn => StatusCode::SERVICE_UNAVAILABLE,
+        ChangeOutcome::TooMany => StatusCode::TOO_MANY_REQUESTS,
         ChangeOutcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
         ChangeOutcome::NoJob => StatusCode::GONE,
     };
-    (status, b"{}".to_vec())
+    let answer = Answer::new(status, b"{}".to_vec());
+    Answer {
+        // A job that its caller has cancelled stays refused.
+        may_retry: answer.may_retry && outcome != ChangeOutcome::Withdrawn,
+        ..answer
+    }
 }
 
-async fn state(shared: &Shared, id: &JobId) -> (StatusCode, Vec<u8>) {
+async fn state(shared: &Shared, id: &JobId) -> Answer {
     match jobs::look_up(shared, id).await {
-        Ok(Some(view)) => (StatusCode::OK, shared.platform_format.state(view)),
-        Ok(None) => (StatusCode::GONE, b"{}".to_vec()),
-        Err(err) => (
+        Ok(Some(view)) => Answer::new(StatusCode::OK, shared.platform_format.state(view)),
+        Ok(None) => Answer::new(StatusCode::GONE, b"{}".to_vec()),
+        Err(err) => Answer::new(
             StatusCode::SERVICE_UNAVAILABLE,
             err.to_string().into_bytes(),
         ),
     }
 }
 
-async fn pending(shared: &Shared, queue: &str) -> (StatusCode, Vec<u8>) {
+async fn pending(shared: &Shared, queue: &str) -> Answer {
     match jobs::pending(shared, queue).await {
-        Some(count) => (StatusCode::OK, shared.platform_format.pending(count)),
-        None => (StatusCode::SERVICE_UNAVAILABLE, b"{}".to_vec()),
+        Some(count) => Answer::new(StatusCode::OK, shared.platform_format.pending(count)),
+        None => Answer::new(StatusCode::SERVICE_UNAVAILABLE, b"{}".to_vec()),
     }
 }
 
 fn refuse(message: &str) -> WebRes {
-    json_response(StatusCode::SERVICE_UNAVAILABLE, message.as_bytes().to_vec())
+    json_response(Answer::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        message.as_bytes().to_vec(),
+    ))
 }
 
-fn json_response(status: StatusCode, body: Vec<u8>) -> WebRes {
-    let mut res = WebRes::new(ResponseBody::bytes(body));
-    *res.status_mut() = status;
+fn json_response(answer: Answer) -> WebRes {
+    let mut res = WebRes::new(ResponseBody::bytes(answer.body));
+    *res.status_mut() = answer.status;
     let headers = res.headers_mut();
     headers.insert(
         http::header::CONTENT_TYPE,
         http::HeaderValue::from_static("application/json"),
     );
-    if status == StatusCode::SERVICE_UNAVAILABLE {
+    if answer.may_retry {
         headers.insert(
             http::header::RETRY_AFTER,
             http::HeaderValue::from_static(RETRY_AFTER_S),
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -1,7 +1,8 @@
 //! Submits, cancels and looks up jobs, directly in the store or through the leader.
 
 use super::config_watch::GET_TIMEOUT;
-use super::keys::{cancel_key, job_key, record_key};
+use super::intake::{CancelMark, StoredIntake, cancellation, cancelled, submission};
+use super::keys::{job_key, record_key};
 use super::peers::{PeerCall, PeerResponse};
 use super::ports::{Transaction, TxnOutcome};
 use super::shared::Shared;
@@ -14,6 +15,10 @@
 /// Attempts to write to the store before the write is relayed to the leader.
 const LOCAL_WRITE_ATTEMPTS: usize = 2;
 
+/// Writes of a cancellation after which it is given up. Each one more follows a change between two:
+/// the job was stored, or removed after its retention.
+const CANCEL_WRITES: usize = 4;
+
 /// Timeout of a lookup in the memory of the leader.
 const LOOKUP_TIMEOUT: Millis = Millis(300);
 
@@ -30,8 +35,23 @@
     Refused,
     /// In doubt: a write was sent and not answered.
     Unknown,
-    /// The job does not exist.
+    /// The job does not exist and will not be stored later.
     NoJob,
+    /// The caller has cancelled the job before it was stored. It will not be stored later.
+    Withdrawn,
+    /// Too many cancellations of unknown jobs; the change is not in the store and will not get
+    /// there later.
+    TooMany,
+}
+
+/// Outcome of a write of a job or a cancellation.
+enum IntakeWrite {
+    /// The change is in the store.
+    Done,
+    /// A condition has failed, and the store holds this.
+    Conflict(StoredIntake),
+    /// The change is not in the store, or not known to be there.
+    Failed(ChangeOutcome),
 }
 
 /// Stores a job under its id. Storing the same id again has no effect. With `relay`, the leader is
@@ -49,54 +69,80 @@
             return ChangeOutcome::Refused;
         }
     };
-    let txn = Transaction {
-        expected: vec![(job_key(id), 0)],
-        writes: vec![(job_key(id), value, 0)],
-        removes: Vec::new(),
+    let outcome = match write(shared, &submission(id, value)).await {
+        IntakeWrite::Done => ChangeOutcome::Stored,
+        IntakeWrite::Conflict(found) => found.submission_outcome(),
+        IntakeWrite::Failed(outcome) => outcome,
     };
-    let outcome = write(shared, &txn).await;
-    if outcome == ChangeOutcome::Stored || !relay {
-        return outcome;
+    match outcome {
+        ChangeOutcome::Stored | ChangeOutcome::Withdrawn => return outcome,
+        _ if !relay => return outcome,
+        _ => {}
     }
     let call = PeerCall::Submit(id.clone(), spec.clone());
     relay_to_leader(shared, &call, outcome).await
 }
 
-/// Marks a job as cancelled. `relay` works as for [`submit`].
+/// Marks a job as cancelled; a job that is not stored will not be stored afterwards. `relay` works
+/// as for [`submit`].
 pub(super) async fn cancel(shared: &Shared, id: &JobId, relay: bool) -> ChangeOutcome {
-    let known = shared
-        .local_leader()
-        .is_some_and(|leader| leader.sched.lock().view(id).is_some());
-    let mut outcome = ChangeOutcome::Refused;
-    if known || !shared.store_failed() {
-        outcome = match known || exists(shared, id).await.unwrap_or(true) {
-            true => {
-                let txn = Transaction {
-                    writes: vec![(cancel_key(id), Vec::new(), 0)],
-                    ..Transaction::default()
-                };
-                write(shared, &txn).await
+    let outcome = match shared.store_failed() {
+        true => ChangeOutcome::Refused,
+        false => write_cancellation(shared, id).await,
+    };
+    match outcome {
+        ChangeOutcome::Stored => {
+            if let Some(leader) = shared.local_leader() {
+                let wall = shared.clock.wall();
+                leader.update(|sched, now| {
+                    sched.cancel(id, now, wall);
+                });
             }
-            false => return ChangeOutcome::NoJob,
-        };
-    }
-    if outcome == ChangeOutcome::Stored {
-        if let Some(leader) = shared.local_leader() {
-            let wall = shared.clock.wall();
-            leader.update(|sched, now| sched.cancel(id, now, wall));
+            outcome
         }
-        return outcome;
+        ChangeOutcome::NoJob | ChangeOutcome::TooMany => outcome,
+        _ if !relay => outcome,
+        _ => relay_to_leader(shared, &PeerCall::Cancel(id.clone()), outcome).await,
     }
-    if !relay {
-        return outcome;
+}
+
+/// Writes the cancellation of a job, whether it is stored or not.
+async fn write_cancellation(shared: &Shared, id: &JobId) -> ChangeOutcome {
+    let mark = CancelMark {
+        requested: shared.clock.wall(),
+    };
+    let mark = match rmp_serde::to_vec_named(&mark) {
+        Ok(mark) => mark,
+        Err(err) => {
+            tracing::error!(job = %id, %err, "cancellation cannot be encoded; it is refused");
+            return ChangeOutcome::Refused;
+        }
+    };
+    // Without an answer the write tells what is there.
+    let mut job = job_revision(shared, id).await.unwrap_or(0);
+    for _ in 0..CANCEL_WRITES {
+        if job == 0 && !shared.may_cancel_unknown() {
+            tracing::warn!(job = %id, "too many cancellations of unknown jobs; one is refused");
+            return ChangeOutcome::TooMany;
+        }
+        match write(shared, &cancellation(id, job, mark.clone())).await {
+            IntakeWrite::Done => return cancelled(job),
+            IntakeWrite::Conflict(found) => match found.cancellation_outcome() {
+                Some(outcome) => return outcome,
+                None => job = found.job,
+            },
+            IntakeWrite::Failed(outcome) => return outcome,
+        }
     }
-    relay_to_leader(shared, &PeerCall::Cancel(id.clone()), outcome).await
+    tracing::warn!(job = %id, writes = CANCEL_WRITES, "job changes with each write of its cancellation; it is refused");
+    ChangeOutcome::Refused
 }
 
-async fn exists(shared: &Shared, id: &JobId) -> Result<bool, StoreError> {
+/// Returns the revision of a stored job; 0 if there is none.
+async fn job_revision(shared: &Shared, id: &JobId) -> Result<u64, StoreError> {
     let read = shared.store.get(&job_key(id), GET_TIMEOUT).await;
     shared.record_store_call("get", &read);
-    Ok(read?.0.is_some())
+    Ok(read?.0.map_or(0, |item| item.revision))
 }
 
 async fn relay_to_leader(
@@ -119,31 +165,31 @@
     }
 }
 
-async fn write(shared: &Shared, txn: &Transaction) -> ChangeOutcome {
+async fn write(shared: &Shared, txn: &Transaction) -> IntakeWrite {
     if shared.store_failed() {
         // Nothing is sent, so the outcome is certain. The watches detect when the store answers
         // again.
-        return ChangeOutcome::Refused;
+        return IntakeWrite::Failed(ChangeOutcome::Refused);
     }
     let mut in_doubt = false;
     for _ in 0..LOCAL_WRITE_ATTEMPTS {
         let result = shared.store.commit(txn, WRITE_TIMEOUT).await;
         shared.record_store_call("commit", &result);
         match result {
-            // A conflict shows that the id is stored, perhaps by a write before this one whose
-            // response was lost.
-            Ok(TxnOutcome::Done(_) | TxnOutcome::Conflict(_)) => return ChangeOutcome::Stored,
+            Ok(TxnOutcome::Done(_)) => return IntakeWrite::Done,
+            Ok(TxnOutcome::Conflict(items)) => {
+                return IntakeWrite::Conflict(StoredIntake::from_conflict(&items));
+            }
             Ok(TxnOutcome::NoLease) | Err(StoreError::Unavailable(_) | StoreError::Invalid(_)) => {
                 break;
             }
             Err(StoreError::AnswerLost(_)) => in_doubt = true,
         }
     }
-    if in_doubt {
-        ChangeOutcome::Unknown
-    } else {
-        ChangeOutcome::Refused
-    }
+    IntakeWrite::Failed(match in_doubt {
+        true => ChangeOutcome::Unknown,
+        false => ChangeOutcome::Refused,
+    })
 }
 
 /// Looks up a job at the leader, then in the store. Fails if neither of them answers.
@@ -178,7 +224,8 @@
             Phase::Cancelled => JobView::Cancelled,
         }));
     }
-    Ok(exists(shared, id).await?.then_some(JobView::Queued))
+    let is_stored = job_revision(shared, id).await? != 0;
+    Ok(is_stored.then_some(JobView::Queued))
 }
 
 /// Returns the number of waiting jobs of a queue, or `None` if the leader does not answer.
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 
 use super::config_watch::{GET_TIMEOUT, RETRY_PAUSE};
+use super::intake::CancelMark;
 use super::keys::{INTAKE, INTERFERENCE, IntakeKey, RECORDS, parse_intake_key, record_id};
 use super::leader::Leader;
 use super::ports::{Change, Item};
@@ -73,6 +74,7 @@
     let (items, at) = read_all(&leader.shared, INTAKE).await?;
     let wall = leader.shared.clock.wall();
     leader.update(|sched, now| {
+        sched.clear_cancel_marks();
         for item in &items {
             apply_intake(sched, item, None, now, wall);
         }
@@ -112,7 +114,12 @@
     wall: Timestamp,
 ) {
     match parse_intake_key(&item.key) {
-        Some(IntakeKey::Cancel(id)) => sched.cancel(&id, now, wall),
+        Some(IntakeKey::Cancel(id)) => {
+            if !sched.cancel(&id, now, wall) {
+                let requested = CancelMark::decode(&item.value).map_or(wall, |mark| mark.requested);
+                sched.keep_cancel_mark(id, requested.min(wall));
+            }
+        }
         Some(IntakeKey::Job(id)) => match rmp_serde::from_slice::<JobSpec>(&item.value) {
             Ok(spec) => {
                 let record = records.and_then(|records| records.remove(&id));
--- a/src/entry/maintenance.rs
+++ b/src/entry/maintenance.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::intake::removal_of_marks;
 use super::keys::{INTERFERENCE, LEADER, cancel_key, job_key, record_key};
 use super::leader::Leader;
 use super::ports::{Transaction, TxnOutcome};
@@ -18,6 +19,15 @@
 /// leader key.
 const REMOVE_BATCH: usize = 10;
 
+/// Time between two removals of cancellations without jobs, and the transactions of each: 600 a
+/// second, more than all processes of the largest site store.
+const MARKS_INTERVAL: Duration = Duration::from_secs(1);
+const MARKS_BATCHES: usize = 40;
+
+/// Cancellations in one transaction. Each has a condition and a key to remove, and a transaction may
+/// have 32 entries including the leader key.
+const MARKS_BATCH: usize = 15;
+
 /// Time between two writes of the interference estimates, some 30 KB each.
 const SAVE_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -79,6 +89,42 @@
     }
 }
 
+/// Removes cancellations of jobs that were never stored, once no submission can be on its way.
+pub(super) async fn remove_cancel_marks(leader: Arc<Leader>) {
+    loop {
+        tokio::time::sleep(MARKS_INTERVAL).await;
+        for _ in 0..MARKS_BATCHES {
+            let wall = leader.shared.clock.wall();
+            let ids = leader.sched.lock().expired_cancel_marks(wall, MARKS_BATCH);
+            if ids.is_empty() {
+                break;
+            }
+            let txn = removal_of_marks((LEADER.to_string(), leader.fence), &ids);
+            let removed = leader.shared.store.commit(&txn, WRITE_TIMEOUT).await;
+            leader.shared.record_store_call("commit", &removed);
+            match removed {
+                Ok(TxnOutcome::Done(revision)) => {
+                    let mut sched = leader.sched.lock();
+                    ids.iter().for_each(|id| sched.drop_cancel_mark(id));
+                    tracing::info!(
+                        jobs = ids.len(),
+                        revision,
+                        "cancellations of unknown jobs removed"
+                    );
+                }
+                other => {
+                    tracing::info!(
+                        jobs = ids.len(),
+                        ?other,
+                        "cancellations of unknown jobs not removed"
+                    );
+                    break;
+                }
+            }
+        }
+    }
+}
+
 /// Logs once a second what each queue holds of the fleet and how long its jobs wait.
 pub(super) async fn log_queue_loads(leader: Arc<Leader>) {
     loop {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod election;
 mod former_terms;
 mod frontend;
+mod intake;
 mod jobs;
 mod keys;
 mod leader;
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -9,6 +9,7 @@
 use super::metrics::EntryMetrics;
 use super::ports::{PlatformFormat, StateStore, WorkerCalls};
 use super::{Clock, EntrySettings, TermEnd};
+use crate::admission::TokenBucket;
 use crate::prelude::*;
 use crate::scheduler::{MAX_ENTRIES_AGE, QueueTable};
 use crate::web::Caller;
@@ -19,6 +20,11 @@
 /// Time after the end of an outage within which workers have written their entries again.
 const ENTRIES_RETURN_TIME: Millis = Millis(2500);
 
+/// Cancellations of unknown jobs that a process stores in a second, and at once after a pause. Each
+/// is kept for a minute: 41 processes keep at most 26,000, which a leader reads within a second.
+const UNKNOWN_CANCELS_PER_S: f64 = 10.0;
+const UNKNOWN_CANCELS_BURST: f64 = 50.0;
+
 /// Value of the leader key: the process that leads, and by which of its claims.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -53,6 +59,8 @@
     pub leader: RwLock<Option<Arc<Leader>>>,
     /// Claims of this process, and what became of them.
     pub claims: Mutex<ClaimHistory>,
+    /// Limits the cancellations of unknown jobs.
+    unknown_cancels: Mutex<TokenBucket>,
     /// Set when shutdown begins.
     pub shutting_down: AtomicBool,
     /// Time of the last response of the store.
@@ -73,7 +81,14 @@
         metrics: EntryMetrics,
     ) -> Self {
         let incarnation = clock.wall().0;
+        let unknown_cancels = TokenBucket::new(
+            UNKNOWN_CANCELS_PER_S,
+            Millis::from_secs(1),
+            UNKNOWN_CANCELS_BURST,
+            clock.now(),
+        );
         Self {
+            unknown_cancels: Mutex::new(unknown_cancels),
             incarnation,
             claims: Mutex::new(ClaimHistory::new(incarnation, clock.now())),
             cfg,
@@ -163,6 +178,11 @@
         claims.end_for_successor(incarnation, claim, fence, now)
     }
 
+    /// Returns whether one more cancellation of an unknown job may be stored.
+    pub fn may_cancel_unknown(&self) -> bool {
+        self.unknown_cancels.lock().take(self.clock.now())
+    }
+
     /// Returns the state of the current term if this process leads.
     pub fn local_leader(&self) -> Option<Arc<Leader>> {
         self.leader.read().clone()
--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -14,7 +14,9 @@
 use super::leader::Leader;
 use super::leader_load::{busy_text, log_leader_load};
 use super::load::load_state;
-use super::maintenance::{log_queue_loads, remove_outdated_jobs, save_interference, tick};
+use super::maintenance::{
+    log_queue_loads, remove_cancel_marks, remove_outdated_jobs, save_interference, tick,
+};
 use super::ports::{Change, TxnOutcome, WatchResponse};
 use super::shared::Shared;
 use super::terms::{end_former_terms, write_hand_over, write_terms};
@@ -102,6 +104,7 @@
         tasks.spawn(Activity::Plan.measure(run_planner(leader.clone())));
         tasks.spawn(Activity::Record.measure(save_interference(leader.clone())));
         tasks.spawn(Activity::Record.measure(remove_outdated_jobs(leader.clone())));
+        tasks.spawn(Activity::Record.measure(remove_cancel_marks(leader.clone())));
         tasks.spawn(Activity::Record.measure(run_committer(leader.clone())));
         tasks.spawn(Activity::Record.measure(write_terms(leader.clone())));
         tasks.spawn(log_leader_load(leader.clone()));
--- a/src/entry/watches.rs
+++ b/src/entry/watches.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::config_watch::{RETRY_PAUSE, WATCH_WAIT};
-use super::keys::INTAKE;
+use super::keys::{INTAKE, IntakeKey, parse_intake_key};
 use super::leader::Leader;
 use super::load::{apply_intake, apply_worker, load_workers, reload_intake};
 use super::ports::{Change, WatchResponse};
@@ -29,8 +29,13 @@
                 let wall = shared.clock.wall();
                 leader.update(|sched, now| {
                     for change in &changes {
-                        if let Change::Put(item) = change {
-                            apply_intake(sched, item, None, now, wall);
+                        match change {
+                            Change::Put(item) => apply_intake(sched, item, None, now, wall),
+                            Change::Removed(key) => {
+                                if let Some(IntakeKey::Cancel(id)) = parse_intake_key(key) {
+                                    sched.drop_cancel_mark(&id);
+                                }
+                            }
                         }
                     }
                 });
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 //! take out commands and records.
 
 mod advice;
+mod cancel_marks;
 mod candidates;
 mod colocation;
 mod command;
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -55,6 +55,8 @@
     pub(super) lease_horizon: Option<Millis>,
     pub(super) silence: Silence,
     pub(super) jobs: BTreeMap<JobId, Job>,
+    /// Cancellations of jobs that are not known, and when callers asked for them.
+    pub(super) cancel_marks: BTreeMap<JobId, Timestamp>,
     pub(super) workers: BTreeMap<WorkerId, Worker>,
     pub(super) queues: Arc<QueueTable>,
     /// Workers that the caller does not poll yet.
@@ -102,6 +104,7 @@
             fence,
             took_over_at: now,
             jobs: BTreeMap::new(),
+            cancel_marks: BTreeMap::new(),
             workers: BTreeMap::new(),
             queues,
             new_workers: Vec::new(),
@@ -205,8 +208,12 @@
                 self.crashes.remember_counted(&key, crashes);
             }
         }
-        self.jobs.insert(id, job);
+        let is_cancelled = self.cancel_marks.remove(&id).is_some();
+        self.jobs.insert(id.clone(), job);
         self.replan = true;
+        if is_cancelled {
+            self.cancel(&id, now, wall);
+        }
     }
 
     pub(super) fn worker(&mut self, id: &WorkerId, incarnation: u64) -> &mut Worker {
@@ -230,12 +237,17 @@
         std::mem::take(&mut self.new_workers)
     }
 
-    /// Cancels a job: its runs are stopped and no further run starts.
-    pub fn cancel(&mut self, id: &JobId, now: Millis, wall: Timestamp) {
-        if self.jobs.get(id).is_some_and(Job::is_active) {
+    /// Cancels a job: its runs are stopped and no further run starts. Returns whether the job is
+    /// known.
+    pub fn cancel(&mut self, id: &JobId, now: Millis, wall: Timestamp) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        if job.is_active() {
             tracing::info!(job = %id, "job cancelled");
             self.end_job(id, Phase::Cancelled, now, wall);
         }
+        true
     }
 
     /// Ends a job in `phase` and stops its runs.
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -1,6 +1,6 @@
 //! A test site: daemon processes, and stand-ins of the platform's store, workers and advice
 //! service.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod capacity;
 mod client;
--- a/tests/platform_support/store.rs
+++ b/tests/platform_support/store.rs
@@ -17,6 +17,9 @@
 /// Interval at which a waiting watch checks for changes.
 const WATCH_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Prefix of jobs and cancellations.
+const INTAKE_PREFIX: &str = "sapphirecroft/in/";
+
 /// Key that the leading daemon holds.
 const LEADER_KEY: &str = "sapphirecroft/leader";
 
@@ -37,6 +40,8 @@
     drop_write_responses: usize,
     /// Claims of the leader key that are executed without a response.
     drop_claim_responses: usize,
+    /// Number of writes of jobs and cancellations that are carried out late, and when.
+    delay_intake_writes: (usize, Duration),
     /// Every second read of a page is refused.
     refuse_pages: bool,
     page_reads: usize,
@@ -96,6 +101,17 @@
         self.state.lock().drop_claim_responses = count;
     }
 
+    /// Carries out the next `count` writes of jobs or cancellations `after` they arrive, if their
+    /// conditions hold then, and does not respond to them.
+    pub fn delay_intake_writes(&self, count: usize, after: Duration) {
+        self.state.lock().delay_intake_writes = (count, after);
+    }
+
+    /// Returns the number of writes of jobs or cancellations that are still to be delayed.
+    pub fn intake_writes_to_delay(&self) -> usize {
+        self.state.lock().delay_intake_writes.0
+    }
+
     /// Returns the number of claims whose responses are still to be dropped.
     pub fn claim_responses_to_drop(&self) -> usize {
         self.state.lock().drop_claim_responses
@@ -240,7 +256,14 @@
     })
 }
 
-async fn handle(state: &Mutex<State>, path: &str, query: &str, body: &Value) -> JsonResponse {
+/// Returns whether a transaction writes a job or a cancellation.
+fn writes_intake(txn: &Value) -> bool {
+    let writes = txn["writes"].as_array().into_iter().flatten();
+    let mut keys = writes.filter_map(|row| row["key"].as_str());
+    keys.any(|key| key.starts_with(INTAKE_PREFIX))
+}
+
+async fn handle(shared: &Arc<Mutex<State>>, path: &str, query: &str, body: &Value) -> JsonResponse {
     let param = |name: &str| {
         query
             .split('&')
@@ -251,7 +274,7 @@
     };
     let number = |name: &str| param(name).parse::<u64>().unwrap_or(0);
     {
-        let mut state = state.lock();
+        let mut state = shared.lock();
         if state.down {
             return None;
         }
@@ -261,7 +284,7 @@
         let until = Instant::now() + Duration::from_millis(number("waitMs"));
         loop {
             {
-                let mut state = state.lock();
+                let mut state = shared.lock();
                 state.expire();
                 if number("after") < state.compacted_until {
                     return Some((StatusCode::GONE, json!({})));
@@ -278,7 +301,24 @@
             tokio::time::sleep(WATCH_CHECK_INTERVAL).await;
         }
     }
-    let mut state = state.lock();
+    if path == "/kv-txn" && writes_intake(body) {
+        let delay = {
+            let mut state = shared.lock();
+            let (count, after) = &mut state.delay_intake_writes;
+            let is_delayed = *count > 0;
+            *count = count.saturating_sub(1);
+            is_delayed.then_some(*after)
+        };
+        if let Some(delay) = delay {
+            let (late, txn) = (shared.clone(), body.clone());
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                late.lock().commit(&txn);
+            });
+            return None;
+        }
+    }
+    let mut state = shared.lock();
     match path {
         "/kv-key" => {
             let key = param("key");
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -636,3 +636,42 @@
     assert!(again.iter().all(|start| start.task != task), "{commands:?}");
     assert!(stops(&commands).iter().any(|stop| stop.run == second.run));
 }
+
+/// Guards against a cancelled job that runs because the leader hears of the cancellation before the
+/// job, also if the leader changes in between.
+#[test]
+fn a_cancellation_that_comes_before_its_job_applies() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, 8000), Millis(0));
+
+    let is_known = sched.cancel(&id("a"), Millis(10), Timestamp(10));
+    sched.keep_cancel_mark(id("a"), Timestamp(10));
+    let spec = job("urgent", vec![step(2, 1000, 1000)]);
+    submit(&mut sched, "a", spec, Millis(20));
+    let sent = starts(&plan_and_commit(&mut sched, 1, Millis(20)));
+
+    assert!(!is_known);
+    assert_eq!(sent, []);
+    assert_eq!(sched.view(&id("a")), Some(JobView::Cancelled));
+    let marks = sched.expired_cancel_marks(Timestamp(1_000_000), 10);
+    assert_eq!(marks, [], "the mark belongs to a stored job");
+}
+
+/// Guards against a job that is stored again under an id whose old cancellation was removed and that
+/// is cancelled at once, and against cancellations of unknown jobs that stay for ever or are removed
+/// while a submission may be on its way.
+#[test]
+fn a_cancellation_of_an_unknown_job_is_kept_for_a_minute() {
+    let mut sched = leader(Millis(0));
+    sched.keep_cancel_mark(id("a"), Timestamp(10_000));
+    sched.keep_cancel_mark(id("b"), Timestamp(30_000));
+
+    let early = sched.expired_cancel_marks(Timestamp(69_999), 10);
+    let expired = sched.expired_cancel_marks(Timestamp(70_000), 10);
+    sched.drop_cancel_mark(&id("a"));
+    let spec = job("urgent", vec![step(1, 1000, 1000)]);
+    submit(&mut sched, "a", spec, Millis(80_000));
+
+    assert_eq!((early, expired), (vec![], vec![id("a")]));
+    assert_eq!(sched.view(&id("a")), Some(JobView::Queued));
+}
