Let callers of the soak leave and cancel, and lose claims and writes of jobs

A caller leaves before its submission is answered, cancels the job at another daemon and sometimes submits it again; the store loses answers of claims and carries writes of jobs out late.

--- a/tests/soak_support/callers.rs
+++ b/tests/soak_support/callers.rs
@@ -10,11 +10,17 @@
 use serde_json::json;
 use tokio_util::sync::CancellationToken;
 
-use crate::platform_support::Client;
+use crate::platform_support::{Client, call};
 
 /// Maximum attempts to submit a job, each at another daemon.
 const ATTEMPTS: usize = 5;
 
+/// Number of the first job of the caller that leaves; no other job has it.
+const FIRST_LEAVING: u64 = 0x1eaf_0000;
+
+/// Work of its jobs: they are at work at the end of a run unless they are cancelled.
+const LEAVING_WORK_MS: u64 = 90_000;
+
 /// Outcome of a job as its caller knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum JobOutcome {
@@ -53,6 +59,51 @@
     }
 }
 
+/// Submits jobs, leaves before the answer and cancels them at another daemon, until `stop` is
+/// triggered. Sometimes it submits the job again afterwards.
+pub async fn run_leaving_caller(
+    mut rng: ChaCha8Rng,
+    frontends: Arc<Vec<SocketAddr>>,
+    jobs: Arc<Mutex<Vec<SubmittedJob>>>,
+    stop: CancellationToken,
+) {
+    let mut number = FIRST_LEAVING;
+    while !stop.is_cancelled() {
+        number += 1;
+        let id = format!("{number:016x}");
+        let path = format!("/queue/{id}");
+        let spec = format!("work={LEAVING_WORK_MS} cpu=200 mem=200");
+        let body = json!({"spec": spec, "steps": [
+            {"count": 1, "cpu": 200, "memMb": 200, "estimateMs": LEAVING_WORK_MS},
+        ]})
+        .to_string();
+        let any = |rng: &mut ChaCha8Rng| frontends[rng.random_range(0..frontends.len())];
+        let patience = Duration::from_millis(rng.random_range(1..800));
+        let first = any(&mut rng);
+        // The caller leaves: its connection is closed while the daemon writes the job.
+        let _ = tokio::time::timeout(patience, call(first, "POST", &path, &body)).await;
+        let mut outcome = JobOutcome::Unknown;
+        for _ in 0..ATTEMPTS {
+            let (status, _) = call(any(&mut rng), "DELETE", &path, "").await;
+            if matches!(status, 200 | 410) {
+                outcome = JobOutcome::Cancelled;
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        if rng.random_bool(0.3) {
+            call(any(&mut rng), "POST", &path, &body).await;
+        }
+        jobs.lock().push(SubmittedJob {
+            id,
+            tasks: 1,
+            outcome,
+            violations: Vec::new(),
+        });
+        tokio::time::sleep(Duration::from_millis(rng.random_range(100..500))).await;
+    }
+}
+
 async fn submit_job(
     client: &mut Client,
     rng: &mut ChaCha8Rng,
--- a/tests/soak_support/faults.rs
+++ b/tests/soak_support/faults.rs
@@ -11,6 +11,9 @@
 /// Distinguishes the randomness of the workers' faults from that of the others.
 const WORKER_SEED: u64 = 1 << 63;
 
+/// Distinguishes the randomness of the store's faults from that of the others.
+const STORE_SEED: u64 = 1 << 62;
+
 /// Maximum number of jobs that crash workers in one run, for the run has few workers.
 const MAX_CRASHING_JOBS: usize = 2;
 
@@ -23,6 +26,8 @@
     /// Randomness of the workers' faults; apart, so that they do not change the other faults of a
     /// seed.
     worker_rng: ChaCha8Rng,
+    /// Randomness of writes that are lost or late; apart for the same reason.
+    store_rng: ChaCha8Rng,
     crashing_jobs: Vec<String>,
     history: Vec<String>,
     suspended: Vec<usize>,
@@ -33,6 +38,7 @@
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             worker_rng: ChaCha8Rng::seed_from_u64(seed ^ WORKER_SEED),
+            store_rng: ChaCha8Rng::seed_from_u64(seed ^ STORE_SEED),
             crashing_jobs: Vec::new(),
             history: Vec::new(),
             suspended: Vec::new(),
@@ -78,6 +84,7 @@
             }
         }
         self.inject_worker_fault(site);
+        self.inject_store_fault(site);
         if self.rng.random_bool(0.15) {
             site.store.set_down(true);
         }
@@ -115,6 +122,27 @@
         site.workers[worker].set_capacity(cpu * percent / 100, memory * percent / 100);
     }
 
+    /// In some rounds, loses the answer of the next claim of leadership, or carries out the next
+    /// writes of jobs and cancellations late.
+    fn inject_store_fault(&mut self, site: &Site) {
+        let kind = self.store_rng.random_range(0..8);
+        let count = self.store_rng.random_range(1..4);
+        let after = Duration::from_millis(self.store_rng.random_range(100..4000));
+        match kind {
+            0 => {
+                self.history
+                    .push("the next claim gets no answer".to_string());
+                site.store.drop_claim_responses(1);
+            }
+            1 => {
+                let text = format!("the next {count} writes of jobs are {after:?} late");
+                self.history.push(text);
+                site.store.delay_intake_writes(count, after);
+            }
+            _ => {}
+        }
+    }
+
     fn submit_crashing_job(&mut self, site: &Site) {
         let id = format!(
             "{:016x}",
@@ -142,6 +170,8 @@
     pub async fn heal(&mut self, site: &mut Site) {
         site.store.set_down(false);
         site.store.drop_write_responses(0);
+        site.store.drop_claim_responses(0);
+        site.store.delay_intake_writes(0, Duration::ZERO);
         for worker in &site.workers {
             worker.drop_start_responses(0);
             worker.set_capacity(CAPACITY.0, CAPACITY.1);
--- a/tests/soak_support/mod.rs
+++ b/tests/soak_support/mod.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::platform_support::{Site, call};
-use callers::{JobOutcome, SubmittedJob, run_caller};
+use callers::{JobOutcome, SubmittedJob, run_caller, run_leaving_caller};
 use faults::Faults;
 
 /// Number of concurrent callers.
@@ -38,6 +38,12 @@
     let frontends: Arc<Vec<_>> = Arc::new(frontends);
     let jobs: Arc<Mutex<Vec<SubmittedJob>>> = Arc::default();
     let stop = CancellationToken::new();
+    let leaving = tokio::spawn(run_leaving_caller(
+        ChaCha8Rng::seed_from_u64(plan.seed * 1000 + CALLERS as u64),
+        frontends.clone(),
+        jobs.clone(),
+        stop.clone(),
+    ));
     let callers: Vec<_> = (0..CALLERS)
         .map(|at| {
             let rng = ChaCha8Rng::seed_from_u64(plan.seed * 1000 + at as u64);
@@ -54,7 +60,7 @@
     faults.heal(&mut site).await;
     stop.cancel();
     let mut violations = Vec::new();
-    for caller in callers {
+    for caller in callers.into_iter().chain([leaving]) {
         if let Err(err) = caller.await {
             violations.push(format!("a caller ended early: {err}"));
         }
