--- a/src/entry/ports.rs
+++ b/src/entry/ports.rs
@@ -110,6 +110,8 @@
     async fn advise(&self, advice_request: &AdviceRequest) -> Option<Vec<(WorkerId, String)>>;
     /// Throttles a run to a percentage of its speed; returns whether the worker acknowledged it.
     async fn pace(&self, command: &StopCommand, percent: u32) -> bool;
+    /// Closes the connections to all workers, except those of calls that are in progress.
+    fn disconnect(&self);
 }
 
 /// Why a worker's lists could not be read.
--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -115,6 +115,8 @@
     leader.term_ended.cancel();
     tasks.shutdown().await;
     shared.claims.lock().end(number, shared.clock.now());
+    // The next leader needs the connections that a worker takes, and so does the one after it.
+    shared.workers.disconnect();
     tracing::info!(fence, "leadership ended");
     if cancel.is_cancelled() {
         hand_over(&leader).await;
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -25,6 +25,11 @@
 /// 31 calls may be queued before it.
 const ADVICE_MARGIN: Millis = Millis(3000);
 
+/// Connections to one worker: one for the poll, which waits at the worker, and one for commands. A
+/// leader that loses power leaves them open at the worker, which takes 64: thirty leaders may be
+/// lost before it takes no more. With three, 34 losses on a day made a leader unable to reach some.
+const WORKER_CONNECTIONS: usize = 2;
+
 /// Client that calls each worker, and the advice service, over separate connections.
 pub struct WorkerClient {
     links: Mutex<HashMap<String, Arc<Link>>>,
@@ -45,7 +50,12 @@
         if let Some(link) = links.get(address) {
             return link.clone();
         }
-        let link = Arc::new(Link::new(address.to_string(), Activity::WorkerLink));
+        let link = Link::limited(
+            address.to_string(),
+            Activity::WorkerLink,
+            WORKER_CONNECTIONS,
+        );
+        let link = Arc::new(link);
         links.insert(address.to_string(), link.clone());
         link
     }
@@ -234,6 +244,10 @@
         }
     }
 
+    fn disconnect(&self) {
+        self.links.lock().clear();
+    }
+
     async fn pace(&self, command: &StopCommand, percent: u32) -> bool {
         self.send_command(command, "/pace", Some(percent)).await
     }
--- a/src/web/link.rs
+++ b/src/web/link.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 
 use crate::prelude::*;
 use crate::telemetry::Activity;
@@ -21,7 +22,7 @@
 /// Time to open a connection; a VM without power does not answer, and links take a few ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Idle connections that are kept to one peer.
+/// Idle connections that are kept to a peer without a limit of its own.
 const MAX_IDLE: usize = 8;
 
 /// Why a call gave no answer.
@@ -46,6 +47,8 @@
     address: String,
     activity: Activity,
     idle: Mutex<IdleConnections>,
+    /// Connections that may be in use at once; `None` without a limit.
+    in_use: Option<Semaphore>,
 }
 
 /// Connections that wait for a request.
@@ -79,6 +82,16 @@
             address,
             activity,
             idle: Mutex::default(),
+            in_use: None,
+        }
+    }
+
+    /// Creates a link that has at most this many connections at once. Further calls wait for one,
+    /// within their timeouts.
+    pub fn limited(address: String, activity: Activity, connections: usize) -> Self {
+        Self {
+            in_use: Some(Semaphore::new(connections)),
+            ..Self::new(address, activity)
         }
     }
 
@@ -110,6 +123,15 @@
         req: LinkRequest<'_>,
     ) -> Result<(StatusCode, HeaderMap, Bytes), LinkError> {
         let mut message = self.message(req)?;
+        let _permit = match &self.in_use {
+            Some(in_use) => Some(
+                in_use
+                    .acquire()
+                    .await
+                    .map_err(|err| LinkError::NotSent(err.to_string()))?,
+            ),
+            None => None,
+        };
         let generation = self.idle.lock().generation;
         while let Some(mut connection) = self.take_idle() {
             match connection.try_send_request(message).await {
--- a/tests/web_link.rs
+++ b/tests/web_link.rs
@@ -4,7 +4,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use http::Method;
-use sapphirecroft::model::Millis;
+use sapphirecroft::entry::{PollRequest, WorkerCalls};
+use sapphirecroft::model::{Millis, WorkerId};
+use sapphirecroft::platform::WorkerClient;
 use sapphirecroft::telemetry::Activity;
 use sapphirecroft::web::{Link, LinkError, LinkRequest};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -16,12 +18,19 @@
 #[derive(Default)]
 struct Peer {
     connections: AtomicUsize,
+    /// Connections that are open now.
+    open: AtomicUsize,
     requests: AtomicUsize,
 }
 
 /// Starts a peer whose connections answer this many requests each. Then they are closed, or with
 /// `silent`, read on without an answer.
 async fn start_peer(answers: usize, silent: bool) -> (Arc<Peer>, Link) {
+    let (peer, address) = listen(answers, silent).await;
+    (peer, Link::new(address, Activity::WorkerLink))
+}
+
+async fn listen(answers: usize, silent: bool) -> (Arc<Peer>, String) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
     let address = listener.local_addr().expect("has an address").to_string();
     let peer = Arc::new(Peer::default());
@@ -29,10 +38,15 @@
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             own.connections.fetch_add(1, Ordering::Relaxed);
-            tokio::spawn(serve(own.clone(), stream, answers, silent));
+            own.open.fetch_add(1, Ordering::Relaxed);
+            let peer = own.clone();
+            tokio::spawn(async move {
+                serve(peer.clone(), stream, answers, silent).await;
+                peer.open.fetch_sub(1, Ordering::Relaxed);
+            });
         }
     });
-    (peer, Link::new(address, Activity::WorkerLink))
+    (peer, address)
 }
 
 async fn serve(peer: Arc<Peer>, mut stream: TcpStream, answers: usize, silent: bool) {
@@ -120,3 +134,60 @@
 
     assert!(matches!(refused, Err(LinkError::NotSent(_))), "{refused:?}");
 }
+
+/// Guards against a leader that takes all connections of a worker, so that the leaders after it
+/// reach the worker no more once a few of them have lost power (review case 7).
+#[tokio::test]
+async fn a_limited_link_opens_no_more_connections() {
+    let (peer, address) = listen(100, false).await;
+    let link = Link::limited(address, Activity::WorkerLink, 3);
+
+    let calls = (0..30).map(|_| call(&link, 5000));
+    let answers = futures_util::future::join_all(calls).await;
+
+    assert!(
+        answers.iter().all(|answer| *answer == Ok(200)),
+        "{answers:?}"
+    );
+    assert_eq!(peer.requests.load(Ordering::Relaxed), 30);
+    assert!(peer.connections.load(Ordering::Relaxed) <= 3);
+}
+
+/// Guards against calls that wait for ever for a connection behind others that have gone silent.
+#[tokio::test]
+async fn a_call_that_waits_for_a_connection_times_out() {
+    let (_, address) = listen(0, true).await;
+    let link = Link::limited(address, Activity::WorkerLink, 1);
+
+    let (first, second) = tokio::join!(call(&link, 200), call(&link, 300));
+
+    assert!(matches!(first, Err(LinkError::NoAnswer(_))), "{first:?}");
+    assert!(matches!(second, Err(LinkError::NoAnswer(_))), "{second:?}");
+}
+
+/// Guards against a process that keeps its connections to workers after its term has ended: a site
+/// of many processes would take all that a worker allows (review case 7).
+#[tokio::test]
+async fn the_connections_to_workers_are_closed_on_request() {
+    let (peer, address) = listen(100, false).await;
+    let client = WorkerClient::new(None);
+    let request = PollRequest {
+        address,
+        fence: 1,
+        last_acknowledged: 0,
+        deadline: None,
+        wait: Millis::ZERO,
+    };
+    let worker: WorkerId = "w1".parse().expect("valid id");
+
+    // The answers of the peer are no lists.
+    for _ in 0..3 {
+        assert!(client.poll(&worker, &request).await.is_err());
+    }
+    let before = peer.open.load(Ordering::Relaxed);
+    client.disconnect();
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+
+    assert_eq!(before, 1);
+    assert_eq!(peer.open.load(Ordering::Relaxed), 0);
+}
