--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -211,8 +211,8 @@
         job.started = true;
         let number = run.run;
         let checkpoint = job
-            .task_mut(key)
-            .map(|task| task.checkpoint.clone())
+            .checkpoint_mut(key)
+            .map(|checkpoint| checkpoint.clone())
             .unwrap_or_default();
         self.commands.push(Command::Start(StartCommand {
             worker: id.clone(),
--- a/src/scheduler/completions.rs
+++ b/src/scheduler/completions.rs
@@ -74,13 +74,11 @@
             tracing::info!(task = %key, run = end.run, worker = %placement.worker, outcome = ?end.outcome, "completion of a run that is no longer current");
         }
         job.started = true;
-        if !end.checkpoint.is_empty() && (current || run.is_some()) {
-            let index = key.index as usize;
-            for (at, task) in job.instances[instance].tasks.iter_mut().enumerate() {
-                if at == index || step.gang {
-                    task.checkpoint.clone_from(&end.checkpoint);
-                }
-            }
+        if !end.checkpoint.is_empty()
+            && (current || run.is_some())
+            && let Some(checkpoint) = job.checkpoint_mut(key)
+        {
+            checkpoint.clone_from(&end.checkpoint);
         }
         if (current || run.is_some())
             && run_clears_task(end.outcome, run, now)
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -168,6 +168,9 @@
         for instance in &mut self.instances {
             let (own, others) = rest.split_at(instance.tasks.len());
             instance.tasks.clone_from_slice(own);
+            if self.spec.steps[instance.step as usize].gang {
+                share_checkpoint(&mut instance.tasks);
+            }
             instance.done = own.iter().filter(|task| task.done).count();
             // The former leader knew since when a task has been away; it may be for long.
             for (task, since) in own.iter().zip(&mut instance.away_since) {
@@ -225,6 +228,18 @@
         self.instances[instance].tasks.get_mut(key.index as usize)
     }
 
+    /// Returns the checkpoint from which a task resumes. The members of a gang share one, which the
+    /// first member holds: the value of any of them is valid for all, but all must carry the same.
+    pub(super) fn checkpoint_mut(&mut self, key: &TaskKey) -> Option<&mut String> {
+        let instance = self.instance_of(key)?;
+        let holder = match self.step(instance).gang {
+            true => 0,
+            false => key.index as usize,
+        };
+        let task = self.instances[instance].tasks.get_mut(holder)?;
+        Some(&mut task.checkpoint)
+    }
+
     pub(super) fn key(&self, instance: usize, index: usize) -> TaskKey {
         TaskKey {
             job: self.id.clone(),
@@ -315,3 +330,13 @@
         &self.spec
     }
 }
+
+/// Gives the first member of a gang a checkpoint if another one has one: records of earlier builds
+/// hold one for each member.
+fn share_checkpoint(members: &mut [TaskRecord]) {
+    let held = members.iter().find(|task| !task.checkpoint.is_empty());
+    let checkpoint = held.map(|task| task.checkpoint.clone()).unwrap_or_default();
+    if let Some(first) = members.first_mut() {
+        first.checkpoint = checkpoint;
+    }
+}
--- a/src/scheduler/worker_events.rs
+++ b/src/scheduler/worker_events.rs
@@ -83,11 +83,14 @@
             if let Some(task) = job.task_mut(&status.task) {
                 crashes = task.crashes.count();
                 wanted = active && !task.done && task.run == status.run;
-                let is_newer =
-                    !status.checkpoint.is_empty() && task.checkpoint != status.checkpoint;
-                if expected.is_some() && wanted && is_newer {
-                    task.checkpoint.clone_from(&status.checkpoint);
-                }
+            }
+            if expected.is_some()
+                && wanted
+                && !status.checkpoint.is_empty()
+                && let Some(checkpoint) = job.checkpoint_mut(&status.task)
+                && *checkpoint != status.checkpoint
+            {
+                checkpoint.clone_from(&status.checkpoint);
             }
         }
         if let Some(run) = expected {
