--- a/src/bench/leader.rs
+++ b/src/bench/leader.rs
@@ -391,5 +391,6 @@
             .map(|queue| (queue.name.clone(), queue))
             .collect(),
         max_body: 262_144,
+        ..QueueTable::default()
     })
 }
--- a/src/entry/config_watch.rs
+++ b/src/entry/config_watch.rs
@@ -88,6 +88,6 @@
     *current = Some(table.clone());
     drop(current);
     if let Some(leader) = shared.local_leader() {
-        leader.update(|sched, _| sched.set_queues(table));
+        leader.update(|sched, now| sched.set_queues(table, now));
     }
 }
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -146,8 +146,7 @@
         Change::Put(item) => match decode_worker(shared, item) {
             Ok(entry) => {
                 let id = entry.id.clone();
-                sched.set_entry(entry, now);
-                return Some(id);
+                return sched.set_entry(entry, now).then_some(id);
             }
             Err(err) => {
                 tracing::warn!(
--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -94,7 +94,7 @@
         );
         // The configuration may have changed in the meantime.
         if let Some(queues) = shared.queues.read().clone() {
-            leader.sched.lock().set_queues(queues);
+            leader.update(|sched, now| sched.set_queues(queues, now));
         }
         *shared.leader.write() = Some(leader.clone());
         tasks.spawn(Activity::Watch.measure(watch_intake(leader.clone(), intake_at)));
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -12,9 +12,16 @@
     #[serde(default)]
     routes: Vec<Route>,
     #[serde(default)]
+    services: Vec<Service>,
+    #[serde(default)]
     limits: Limits,
 }
 
+#[derive(Deserialize)]
+struct Service {
+    name: String,
+}
+
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "camelCase")]
 struct Limits {
@@ -101,6 +108,11 @@
     Ok(QueueTable {
         version: cfg.version,
         queues,
+        services: cfg
+            .services
+            .into_iter()
+            .map(|service| service.name)
+            .collect(),
         max_body: if cfg.limits.max_body_bytes == 0 {
             DEFAULT_MAX_BODY_BYTES
         } else {
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -1,6 +1,6 @@
 //! Job queues of the current configuration.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::AdviceSettings;
 use crate::prelude::*;
@@ -43,11 +43,18 @@
     pub version: u64,
     /// Queues by name.
     pub queues: BTreeMap<String, Queue>,
+    /// Services that the configuration names; empty if it lists none, and any service counts.
+    pub services: BTreeSet<String>,
     /// Maximum size of a request body, in bytes.
     pub max_body: usize,
 }
 
 impl QueueTable {
+    /// Returns whether the configuration names a service.
+    pub fn names_service(&self, service: &str) -> bool {
+        self.services.is_empty() || self.services.contains(service)
+    }
+
     /// Returns the queue under `host` with the longest matching prefix of `path`.
     pub fn find(&self, host: &str, path: &str) -> Option<&Queue> {
         self.queues
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -17,7 +17,7 @@
 use super::worker::{Run, RunState};
 use super::{
     Command, Job, JobRecord, JobSpec, JobView, Phase, Placement, QueueTable, StopCommand, TaskKey,
-    Worker,
+    Worker, WorkerEntry,
 };
 use crate::prelude::*;
 
@@ -58,6 +58,8 @@
     /// Cancellations of jobs that are not known, and when callers asked for them.
     pub(super) cancel_marks: BTreeMap<JobId, Timestamp>,
     pub(super) workers: BTreeMap<WorkerId, Worker>,
+    /// Entries that name a service which the configuration does not; they apply once it does.
+    pub(super) foreign_entries: BTreeMap<WorkerId, WorkerEntry>,
     pub(super) queues: Arc<QueueTable>,
     /// Workers that the caller does not poll yet.
     pub(super) new_workers: Vec<WorkerId>,
@@ -106,6 +108,7 @@
             jobs: BTreeMap::new(),
             cancel_marks: BTreeMap::new(),
             workers: BTreeMap::new(),
+            foreign_entries: BTreeMap::new(),
             queues,
             new_workers: Vec::new(),
             commands: Vec::new(),
@@ -148,9 +151,12 @@
     }
 
     /// Applies a new configuration.
-    pub fn set_queues(&mut self, queues: Arc<QueueTable>) {
+    pub fn set_queues(&mut self, queues: Arc<QueueTable>, now: Millis) {
         self.queues = queues;
         self.replan = true;
+        for (_, entry) in std::mem::take(&mut self.foreign_entries) {
+            self.set_entry(entry, now);
+        }
     }
 
     /// Estimates the time of day from the last one that was passed in.
--- a/src/scheduler/worker_entries.rs
+++ b/src/scheduler/worker_entries.rs
@@ -7,13 +7,20 @@
 use crate::prelude::*;
 
 impl Scheduler {
-    /// Applies the entry of a worker.
-    pub fn set_entry(&mut self, entry: WorkerEntry, now: Millis) {
+    /// Applies the entry of a worker; returns whether it names a worker to use. An entry of another
+    /// writer names a service that the configuration does not, and says nothing about the worker:
+    /// its runs go on, and what it reports of itself holds.
+    pub fn set_entry(&mut self, entry: WorkerEntry, now: Millis) -> bool {
+        if !self.queues.names_service(&entry.service) {
+            self.set_foreign_entry(entry);
+            return false;
+        }
+        self.foreign_entries.remove(&entry.id);
         let worker = self.worker(&entry.id, entry.incarnation);
         let is_newer = entry.incarnation > worker.current.number;
         let is_older = entry.incarnation < worker.current.number;
         if is_older {
-            return;
+            return true;
         }
         let changed = worker.entry.as_ref() != Some(&entry);
         let draining = entry.draining && !worker.entry.as_ref().is_some_and(|known| known.draining);
@@ -37,10 +44,22 @@
         if draining {
             self.stop_long_running_runs(&id, now);
         }
+        true
+    }
+
+    /// Keeps an entry aside until the configuration names its service.
+    fn set_foreign_entry(&mut self, entry: WorkerEntry) {
+        let known = self.foreign_entries.get(&entry.id);
+        if known.is_none_or(|known| known.service != entry.service) {
+            tracing::warn!(worker = %entry.id, service = entry.service, born = entry.incarnation, "worker entry names an unknown service; it names no worker to use");
+            self.remove_entry(&entry.id);
+        }
+        self.foreign_entries.insert(entry.id.clone(), entry);
     }
 
     /// Removes the entry of a worker; its runs stay until their leases have expired.
     pub fn remove_entry(&mut self, id: &WorkerId) {
+        self.foreign_entries.remove(id);
         if let Some(worker) = self.workers.get_mut(id) {
             tracing::info!(worker = %id, runs = worker.runs.len(), "worker entry is gone");
             worker.entry = None;
@@ -55,6 +74,7 @@
             .filter(|worker| worker.entry.is_some() && !ids.contains(&worker.id))
             .map(|worker| worker.id.clone())
             .collect();
+        self.foreign_entries.retain(|id, _| ids.contains(id));
         for id in gone {
             self.remove_entry(&id);
         }
--- a/tests/advice_cases.rs
+++ b/tests/advice_cases.rs
@@ -24,6 +24,7 @@
         version: 1,
         queues: BTreeMap::from([(one.name.clone(), one)]),
         max_body: 1000,
+        ..QueueTable::default()
     };
     let timing: Timing = timing();
     let mut sched = Scheduler::new(timing, 7, Arc::new(queues), Millis(0));
--- a/tests/incarnation_cases.rs
+++ b/tests/incarnation_cases.rs
@@ -4,8 +4,8 @@
 
 use sapphirecroft::prelude::*;
 use sapphirecroft::scheduler::{
-    Command, PollPlan, RunCompletion, RunOutcome, Scheduler, StartCommand, StartResponse,
-    WorkerReport,
+    Command, JobView, PollPlan, QueueTable, RunCompletion, RunOutcome, Scheduler, StartCommand,
+    StartResponse, WorkerReport,
 };
 use scheduler_support::*;
 
@@ -214,3 +214,84 @@
 
     assert_eq!(started.len(), 1);
 }
+
+/// Returns a leader whose configuration names only the service of the tests.
+fn leader_of_one_service() -> Scheduler {
+    let table = QueueTable {
+        services: [SERVICE.to_string()].into(),
+        ..(*queues()).clone()
+    };
+    Scheduler::new(timing(), 7, Arc::new(table), Millis(0))
+}
+
+/// Guards against two runs of a task: an entry of another writer, under the id of a worker at work,
+/// names a service that the configuration does not and a later start. The runs counted as those of a
+/// process that is gone, and the reports of the worker as outdated (review case 2).
+#[test]
+fn an_entry_of_an_unknown_service_says_nothing_about_its_worker() {
+    let mut sched = leader_of_one_service();
+    register(&mut sched, entry(1, 1, 8000, 8000), Millis(0));
+    submit(
+        &mut sched,
+        "a",
+        job("urgent", vec![step(1, 1000, 1000)]),
+        Millis(0),
+    );
+    let sent = starts(&plan_and_commit(&mut sched, 1, Millis(0))).remove(0);
+    respond(&mut sched, &sent, StartResponse::Started, Millis(5));
+    register(&mut sched, entry(2, 1, 8000, 8000), Millis(10));
+
+    let mut foreign = entry(1, 500, 8000, 8000);
+    foreign.service = "sorting".to_string();
+    let is_usable = sched.set_entry(foreign.clone(), Millis(100));
+    let again = starts(&plan_and_commit(&mut sched, 2, Millis(110)));
+    let end = RunCompletion {
+        sequence: 1,
+        task: sent.task.clone(),
+        run: sent.run,
+        outcome: RunOutcome::Done,
+        checkpoint: String::new(),
+    };
+    let report = WorkerReport {
+        ended: vec![end],
+        ..WorkerReport::default()
+    };
+    deliver_report(&mut sched, &worker_id(1), 1, Millis(200), report);
+    plan_and_commit(&mut sched, 3, Millis(210));
+
+    assert!(!is_usable);
+    assert_eq!(again, [], "the worker goes on with its run");
+    assert_eq!(sched.view(&id("a")), Some(JobView::Completed));
+}
+
+/// Guards against a worker that is not used again after an entry of another writer was replaced by
+/// its own, or once the configuration names its service.
+#[test]
+fn a_worker_is_used_once_its_entry_names_a_known_service() {
+    let mut sched = leader_of_one_service();
+    register(&mut sched, entry(1, 1, 8000, 8000), Millis(0));
+    let mut foreign = entry(1, 500, 8000, 8000);
+    foreign.service = "sorting".to_string();
+    let mut other = entry(2, 1, 8000, 8000);
+    other.service = "later".to_string();
+
+    sched.set_entry(foreign, Millis(100));
+    sched.set_entry(other, Millis(100));
+    submit(
+        &mut sched,
+        "a",
+        job("urgent", vec![step(1, 1000, 1000)]),
+        Millis(110),
+    );
+    let without_entry = starts(&plan_and_commit(&mut sched, 1, Millis(120)));
+    sched.set_entry(entry(1, 1, 8000, 8000), Millis(1100));
+    let with_entry = starts(&plan_and_commit(&mut sched, 2, Millis(1110)));
+    let mut table = (*queues()).clone();
+    table.services = [SERVICE.to_string(), "later".to_string()].into();
+    let before = sched.summary().1;
+    sched.set_queues(Arc::new(table), Millis(1200));
+
+    assert_eq!(without_entry, []);
+    assert_eq!(with_entry.len(), 1);
+    assert_eq!((before, sched.summary().1), (1, 2));
+}
--- a/tests/scheduler_fairness.rs
+++ b/tests/scheduler_fairness.rs
@@ -189,6 +189,7 @@
         version: 1,
         queues: all.map(|queue| (queue.name.clone(), queue)).into(),
         max_body: 262_144,
+        ..QueueTable::default()
     };
     let mut sched = Scheduler::new(timing(), 7, Arc::new(queues), Millis(0));
     let mut full = entry(9, 1, 80_000, 80_000);
--- a/tests/scheduler_support/mod.rs
+++ b/tests/scheduler_support/mod.rs
@@ -53,6 +53,7 @@
             .map(|queue| (queue.name.clone(), queue))
             .collect::<BTreeMap<_, _>>(),
         max_body: 262_144,
+        ..QueueTable::default()
     })
 }
 
