--- a/src/entry/frontend.rs
+++ b/src/entry/frontend.rs
@@ -177,6 +177,7 @@
         }
     };
     spec.queue = queue.to_string();
+    spec.accepted_by = table.queues.get(queue).cloned();
     spec.submitted = shared.clock.wall();
     change_response(jobs::submit(shared, id, &spec, true).await)
 }
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -79,7 +79,7 @@
         _ if !relay => return outcome,
         _ => {}
     }
-    let call = PeerCall::Submit(id.clone(), spec.clone());
+    let call = PeerCall::Submit(id.clone(), Box::new(spec.clone()));
     relay_to_leader(shared, &call, outcome).await
 }
 
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -19,7 +19,7 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 pub enum PeerCall {
     /// Store a job.
-    Submit(JobId, JobSpec),
+    Submit(JobId, Box<JobSpec>),
     /// Cancel a job.
     Cancel(JobId),
     /// Look up the state of a job.
--- a/src/platform/job.rs
+++ b/src/platform/job.rs
@@ -53,6 +53,7 @@
     let body: Body = serde_json::from_slice(body).map_err(|err| err.to_string())?;
     let spec = JobSpec {
         queue: String::new(),
+        accepted_by: None,
         submitted: Timestamp(0),
         payload: body.spec,
         steps: body.steps.into_iter().map(step).collect(),
--- a/src/scheduler/advice.rs
+++ b/src/scheduler/advice.rs
@@ -26,6 +26,7 @@
 
 /// How a queue's advice service behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct AdviceSettings {
     /// Fixed part of the duration of a call.
     pub fixed_latency: Millis,
@@ -89,12 +90,7 @@
         service: &str,
         now: Millis,
     ) {
-        let Some(settings) = self
-            .queues
-            .queues
-            .get(&job.spec.queue)
-            .and_then(|queue| queue.advice)
-        else {
+        let Some(settings) = self.queues.of(&job.spec).and_then(|queue| queue.advice) else {
             return;
         };
         let calls = self
@@ -175,8 +171,7 @@
         let instance = request.occurrence as usize * job.spec.steps.len() + request.step as usize;
         let validity = self
             .queues
-            .queues
-            .get(&job.spec.queue)
+            .of(&job.spec)
             .and_then(|queue| queue.advice)
             .map_or(Millis::ZERO, |settings| settings.ticket_validity);
         let Some(step_advice) = self.advice.get_mut(&(request.job.clone(), instance)) else {
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -268,8 +268,7 @@
         let job = self.jobs.get(&key.job)?;
         let needed = self
             .queues
-            .queues
-            .get(&job.spec.queue)
+            .of(&job.spec)
             .is_some_and(|queue| queue.advice.is_some());
         if !needed {
             return Some(String::new());
--- a/src/scheduler/completions.rs
+++ b/src/scheduler/completions.rs
@@ -128,7 +128,7 @@
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        let queue = self.queues.queues.get(&job.spec.queue);
+        let queue = self.queues.of(&job.spec);
         let most = queue.map_or(u32::MAX, |queue| queue.max_attempts);
         let failures = job.task_mut(key).map_or(0, |task| {
             task.failures += 1;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -89,9 +89,9 @@
         let Some(mut job) = self.jobs.remove(id) else {
             return 0;
         };
-        let queues = self.queues.clone();
+        let (queues, spec) = (self.queues.clone(), job.spec.clone());
         let mut assigned = 0;
-        if let Some(queue) = queues.queues.get(&job.spec.queue) {
+        if let Some(queue) = queues.of(&spec) {
             for instance in 0..job.instances.len() {
                 if job.instances[instance].has_open_tasks() && job.is_ready(instance, now) {
                     assigned += self.plan_instance(&mut job, queue, instance, turn, round, now);
@@ -267,7 +267,7 @@
 }
 
 fn rank_job(queues: &QueueTable, job: &Job, round: &Round, now: Millis) -> Option<Rank> {
-    let queue = queues.queues.get(&job.spec.queue)?;
+    let queue = queues.of(&job.spec)?;
     let waiting = WaitingJob {
         priority: queue.priority,
         long_running: job.is_long_running(),
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -2,11 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::AdviceSettings;
+use super::{AdviceSettings, JobSpec};
 use crate::prelude::*;
 
 /// A queue that accepts jobs under a host and a path prefix.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Queue {
     /// Name of the queue.
     pub name: String,
@@ -55,6 +56,13 @@
         self.services.is_empty() || self.services.contains(service)
     }
 
+    /// Returns the queue of a job: as it is configured now or, if it was removed since, as it accepted
+    /// the job.
+    pub fn of<'a>(&'a self, spec: &'a JobSpec) -> Option<&'a Queue> {
+        let present = self.queues.get(&spec.queue);
+        present.or(spec.accepted_by.as_ref())
+    }
+
     /// Returns the queue under `host` with the longest matching prefix of `path`.
     pub fn find(&self, host: &str, path: &str) -> Option<&Queue> {
         self.queues
--- a/src/scheduler/spec.rs
+++ b/src/scheduler/spec.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use super::Queue;
 use crate::prelude::*;
 
 /// A job as its queue accepted it.
@@ -11,6 +12,8 @@
 pub struct JobSpec {
     /// Queue that accepted the job.
     pub queue: String,
+    /// The queue as it was then; it holds if the configuration no longer has the queue.
+    pub accepted_by: Option<Queue>,
     /// Time of day at which the queue accepted the job.
     pub submitted: Timestamp,
     /// Payload that every task receives.
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -152,6 +152,7 @@
 
     /// Applies a new configuration.
     pub fn set_queues(&mut self, queues: Arc<QueueTable>, now: Millis) {
+        self.log_removed_queues(&queues);
         self.queues = queues;
         self.replan = true;
         for (_, entry) in std::mem::take(&mut self.foreign_entries) {
@@ -159,6 +160,25 @@
         }
     }
 
+    /// Logs which queues with jobs are not in the next configuration. Their jobs go on.
+    fn log_removed_queues(&self, next: &QueueTable) {
+        let mut jobs: BTreeMap<&str, usize> = BTreeMap::new();
+        for job in self.active.iter().filter_map(|id| self.jobs.get(id)) {
+            let queue = job.spec.queue.as_str();
+            if self.queues.queues.contains_key(queue) && !next.queues.contains_key(queue) {
+                *jobs.entry(queue).or_default() += 1;
+            }
+        }
+        for (queue, jobs) in jobs {
+            tracing::info!(
+                queue,
+                jobs,
+                config = next.version,
+                "queue is removed; its accepted jobs go on as it accepted them"
+            );
+        }
+    }
+
     /// Estimates the time of day from the last one that was passed in.
     pub(super) fn wall_at(&self, now: Millis) -> Timestamp {
         let (at, wall) = self.wall;
@@ -179,7 +199,7 @@
             return;
         }
         let mut job = Job::new(id.clone(), Arc::new(spec), now, wall);
-        job.objective_span = match self.queues.queues.get(&job.spec.queue) {
+        job.objective_span = match self.queues.of(&job.spec) {
             Some(queue) => queue.objective(job.spec.critical_path()),
             None => job.spec.critical_path().scale_permille(1500),
         };
@@ -190,7 +210,7 @@
         {
             tracing::error!(job = %id, "record does not match the job and is ignored; all tasks run again");
         }
-        let queue = self.queues.queues.get(&job.spec.queue);
+        let queue = self.queues.of(&job.spec);
         let priority = queue.map_or(0, |queue| queue.priority);
         for instance in 0..job.instances.len() {
             for index in 0..job.instances[instance].tasks.len() {
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -4,8 +4,8 @@
 
 use sapphirecroft::prelude::*;
 use sapphirecroft::scheduler::{
-    JobSpec, JobView, RunCompletion, RunOutcome, RunStatus, Scheduler, StartResponse, TaskKey,
-    WorkerReport,
+    JobSpec, JobView, QueueTable, RunCompletion, RunOutcome, RunStatus, Scheduler, StartResponse,
+    TaskKey, WorkerReport,
 };
 use scheduler_support::*;
 
@@ -675,3 +675,37 @@
     assert_eq!((early, expired), (vec![], vec![id("a")]));
     assert_eq!(sched.view(&id("a")), Some(JobView::Queued));
 }
+
+/// Guards against an accepted job that never goes on, because its queue was removed from the
+/// configuration between two of its steps (review case 3), also after a change of the leader.
+#[test]
+fn an_accepted_job_outlives_its_queue() {
+    let mut spec = job("urgent", vec![step(1, 1000, 1000), step(1, 1000, 1000)]);
+    spec.steps[1].after = vec![0];
+    spec.accepted_by = Some(queue("urgent", 0, 2));
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, 8000), Millis(0));
+    submit(&mut sched, "a", spec.clone(), Millis(0));
+    let first = starts(&plan_and_commit(&mut sched, 1, Millis(0))).remove(0);
+    respond(&mut sched, &first, StartResponse::Started, Millis(5));
+    let without_queues = Arc::new(QueueTable {
+        version: 2,
+        ..QueueTable::default()
+    });
+
+    sched.set_queues(without_queues.clone(), Millis(100));
+    let report = WorkerReport {
+        ended: vec![completion(1, &first.task, 1, RunOutcome::Done)],
+        ..WorkerReport::default()
+    };
+    deliver_report(&mut sched, &worker_id(1), 1, Millis(500), report);
+    let second = starts(&plan_and_commit(&mut sched, 2, Millis(500)));
+    let mut successor = Scheduler::new(timing(), 8, without_queues, Millis(600));
+    register(&mut successor, entry(1, 1, 8000, 8000), Millis(600));
+    submit(&mut successor, "b", spec, Millis(600));
+    let at_successor = starts(&plan_and_commit(&mut successor, 3, Millis(700)));
+
+    assert_eq!(second.len(), 1);
+    assert_eq!(second[0].task.step, 1);
+    assert_eq!(at_successor.len(), 1);
+}
