--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -208,7 +208,6 @@
                 worker.current.trial_until = now + TRIAL_PERIOD;
             }
         }
-        job.started = true;
         let number = run.run;
         let checkpoint = job
             .checkpoint_mut(key)
--- a/src/scheduler/worker_events.rs
+++ b/src/scheduler/worker_events.rs
@@ -177,6 +177,9 @@
                     run.state = RunState::Running;
                     run.settled_at = Some(now);
                 }
+                if let Some(job) = self.jobs.get_mut(&key.job) {
+                    job.started = true;
+                }
             }
             StartResponse::OtherIncarnation => self.mark_worker_dead(id, command.incarnation, now),
             StartResponse::Unknown => {
--- a/tests/scheduler_cases.rs
+++ b/tests/scheduler_cases.rs
@@ -709,3 +709,24 @@
     assert_eq!(second[0].task.step, 1);
     assert_eq!(at_successor.len(), 1);
 }
+
+/// Guards against a waiting job that is left out of the count of waiting jobs and shown as running,
+/// because a start of it was sent that reached no worker (review case 5).
+#[test]
+fn a_start_without_an_answer_does_not_count_as_started() {
+    let mut sched = leader(Millis(0));
+    register(&mut sched, entry(1, 1, 8000, 8000), Millis(0));
+    let spec = job("urgent", vec![step(1, 1000, 1000)]);
+    submit(&mut sched, "a", spec, Millis(0));
+
+    let sent = starts(&plan_and_commit(&mut sched, 1, Millis(0))).remove(0);
+    let before = (sched.pending("urgent"), sched.view(&id("a")));
+    respond(&mut sched, &sent, StartResponse::Unknown, Millis(500));
+    let unanswered = (sched.pending("urgent"), sched.view(&id("a")));
+    respond(&mut sched, &sent, StartResponse::Started, Millis(600));
+    let started = (sched.pending("urgent"), sched.view(&id("a")));
+
+    assert_eq!(before, (1, Some(JobView::Queued)));
+    assert_eq!(unanswered, (1, Some(JobView::Queued)));
+    assert_eq!(started, (0, Some(JobView::Running)));
+}
