--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -27,3 +27,18 @@
         claim,
     }
 }
+
+/// Plays a history for each seed below `count` and passes it to `then`; names the seed of one that
+/// fails.
+fn play_histories<M>(count: u64, play: impl Fn(u64) -> M, mut then: impl FnMut(M)) {
+    for seed in 0..count {
+        let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| play(seed)));
+        match played {
+            Ok(history) => then(history),
+            Err(err) => {
+                eprintln!("seed {seed}");
+                std::panic::resume_unwind(err);
+            }
+        }
+    }
+}
--- a/src/entry/tests/intake_model.rs
+++ b/src/entry/tests/intake_model.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::play_histories;
 use crate::entry::intake::{StoredIntake, cancellation, cancelled, removal_of_marks, submission};
 use crate::entry::jobs::ChangeOutcome;
 use crate::entry::keys::{cancel_key, job_key};
@@ -102,6 +103,13 @@
         }
     }
 
+    /// Plays the history of a seed.
+    fn play(seed: u64) -> Self {
+        let mut model = Self::new(seed);
+        model.run();
+        model
+    }
+
     fn run(&mut self) {
         // In some histories nobody cancels.
         let cancels = self.rng.random_bool(0.8);
@@ -241,16 +249,10 @@
 #[test]
 fn a_cancelled_or_refused_job_is_never_active() {
     let (mut refused, mut cancelled) = (0, 0);
-    for seed in 0..HISTORIES {
-        let mut model = Model::new(seed);
-        let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| model.run()));
-        if let Err(err) = outcome {
-            eprintln!("seed {seed}");
-            std::panic::resume_unwind(err);
-        }
+    play_histories(HISTORIES, Model::play, |model| {
         refused += model.refused;
         cancelled += model.cancelled;
-    }
+    });
     assert!(
         refused > HISTORIES / 4 && cancelled > HISTORIES,
         "{refused} {cancelled}"
--- a/src/entry/tests/terms_model.rs
+++ b/src/entry/tests/terms_model.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::{leader_info, timing};
+use super::{leader_info, play_histories, timing};
 use crate::entry::claim_history::ClaimHistory;
 use crate::entry::former_terms::FormerTerms;
 use crate::entry::shared::LeaderInfo;
@@ -164,6 +164,13 @@
         }
     }
 
+    /// Plays the history of a seed.
+    fn play(seed: u64) -> Self {
+        let mut model = Self::new(seed);
+        model.run();
+        model
+    }
+
     fn run(&mut self) {
         let end = self.now + LENGTH;
         while self.now < end {
@@ -381,16 +388,10 @@
 #[test]
 fn no_lease_of_a_former_leader_runs_once_it_counts_as_ended() {
     let (mut begun, mut lost) = (0, 0);
-    for seed in 0..HISTORIES {
-        let mut model = Model::new(seed);
-        let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| model.run()));
-        if let Err(err) = outcome {
-            eprintln!("seed {seed}");
-            std::panic::resume_unwind(err);
-        }
+    play_histories(HISTORIES, Model::play, |model| {
         begun += model.terms_begun;
         lost += model.claims_lost;
-    }
+    });
     assert!(
         begun > 10 * HISTORIES && lost > 5 * HISTORIES,
         "{begun} {lost}"
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -37,6 +37,7 @@
 mod slack;
 mod spec;
 mod state;
+mod stop;
 mod tick;
 mod trial;
 mod waits;
