--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -34,7 +34,7 @@
         shared.record_store_call("grant", &lease);
         let lease = lease.ok()?;
         let former = StoredTerms::read(shared).await.ok()?;
-        // Only now, because a claim answers for the terms that it names as handed over.
+        // The claim is dated after the read: it bounds the end of the terms that were handed over.
         let number = shared.claims.lock().open(shared.clock.now());
         let info = LeaderInfo {
             vm: shared.cfg.name.clone(),
--- a/src/entry/election.rs
+++ b/src/entry/election.rs
@@ -173,6 +173,8 @@
         let Some(claim) = Claim::prepare(&self.shared).await else {
             return;
         };
+        // An earlier claim can no longer become a term.
+        self.unanswered = None;
         match claim.write(&self.shared).await {
             Ok(TxnOutcome::Done(revision)) => {
                 run_term(&self.shared, claim, revision, &self.cancel).await;
@@ -181,6 +183,10 @@
                 tracing::info!(claim = %claim.info.claim, err, "claim of the leader key is not answered; the key is read again");
                 self.unanswered = Some(claim);
             }
+            Err(StoreError::Invalid(err)) => {
+                tracing::error!(claim = %claim.info.claim, err, "claim of the leader key is invalid; leadership is not claimed");
+                self.shared.claims.lock().withdraw(claim.info.claim);
+            }
             outcome => {
                 tracing::debug!(claim = %claim.info.claim, ?outcome, "claim of the leader key was refused");
                 self.shared.claims.lock().withdraw(claim.info.claim);
--- a/src/entry/maintenance.rs
+++ b/src/entry/maintenance.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use super::intake::removal_of_marks;
-use super::keys::{INTERFERENCE, LEADER, cancel_key, job_key, record_key};
+use super::keys::{
+    INTERFERENCE, IntakeKey, LEADER, cancel_key, job_key, parse_intake_key, record_key,
+};
 use super::leader::Leader;
-use super::ports::{Transaction, TxnOutcome};
+use super::ports::{Item, Transaction, TxnOutcome};
 use crate::prelude::*;
 
 /// Interval of the scheduler's tick, which handles timeouts.
@@ -96,35 +98,50 @@
         for _ in 0..MARKS_BATCHES {
             let wall = leader.shared.clock.wall();
             let ids = leader.sched.lock().expired_cancel_marks(wall, MARKS_BATCH);
-            if ids.is_empty() {
+            if ids.is_empty() || !remove_marks(&leader, &ids).await {
                 break;
             }
-            let txn = removal_of_marks((LEADER.to_string(), leader.fence), &ids);
-            let removed = leader.shared.store.commit(&txn, WRITE_TIMEOUT).await;
-            leader.shared.record_store_call("commit", &removed);
-            match removed {
-                Ok(TxnOutcome::Done(revision)) => {
-                    let mut sched = leader.sched.lock();
-                    ids.iter().for_each(|id| sched.drop_cancel_mark(id));
-                    tracing::info!(
-                        jobs = ids.len(),
-                        revision,
-                        "cancellations of unknown jobs removed"
-                    );
-                }
-                other => {
-                    tracing::info!(
-                        jobs = ids.len(),
-                        ?other,
-                        "cancellations of unknown jobs not removed"
-                    );
-                    break;
-                }
-            }
         }
     }
 }
 
+/// Removes the cancellations of jobs that are not stored; returns whether some are gone.
+async fn remove_marks(leader: &Leader, ids: &[JobId]) -> bool {
+    let txn = removal_of_marks((LEADER.to_string(), leader.fence), ids);
+    let removed = leader.shared.store.commit(&txn, WRITE_TIMEOUT).await;
+    leader.shared.record_store_call("commit", &removed);
+    let gone: Vec<JobId> = match removed {
+        Ok(TxnOutcome::Done(revision)) => {
+            tracing::info!(
+                jobs = ids.len(),
+                revision,
+                "cancellations of unknown jobs removed"
+            );
+            ids.to_vec()
+        }
+        // A stored job that cannot be decoded is not known here; its cancellation stays with it.
+        Ok(TxnOutcome::Conflict(items)) => items.iter().filter_map(stored_job).collect(),
+        other => {
+            tracing::info!(
+                jobs = ids.len(),
+                ?other,
+                "cancellations of unknown jobs not removed"
+            );
+            Vec::new()
+        }
+    };
+    let mut sched = leader.sched.lock();
+    gone.iter().for_each(|id| sched.drop_cancel_mark(id));
+    !gone.is_empty()
+}
+
+fn stored_job(item: &Item) -> Option<JobId> {
+    match parse_intake_key(&item.key) {
+        Some(IntakeKey::Job(id)) => Some(id),
+        _ => None,
+    }
+}
+
 /// Logs once a second what each queue holds of the fleet and how long its jobs wait.
 pub(super) async fn log_queue_loads(leader: Arc<Leader>) {
     loop {
