Keep one idle connection to a worker instead of letting calls wait for one

A worker had started anew while its link was delayed; starts meant for the old incarnation reached the new one, and a poll acknowledged their ends unread.

Cause: with two connections at most, a call waited for one after it was prepared and its lease was checked. A poll that waits carries acknowledgements of the incarnation that was there when it was prepared.

Change: no call waits. A leader keeps one idle connection to a worker in place of eight, and closes it with its term as before, so a lost leader leaves few.

--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -25,10 +25,10 @@
 /// 31 calls may be queued before it.
 const ADVICE_MARGIN: Millis = Millis(3000);
 
-/// Connections to one worker: one for the poll, which waits at the worker, and one for commands. A
-/// leader that loses power leaves them open at the worker, which takes 64: thirty leaders may be
-/// lost before it takes no more. With three, 34 losses on a day made a leader unable to reach some.
-const WORKER_CONNECTIONS: usize = 2;
+/// Idle connections to one worker, beside those of calls in progress. A leader that loses power
+/// leaves its connections open at the worker, which takes 64; with eight, a dozen lost leaders left
+/// none to the next.
+const IDLE_WORKER_CONNECTIONS: usize = 1;
 
 /// Client that calls each worker, and the advice service, over separate connections.
 pub struct WorkerClient {
@@ -50,12 +50,8 @@
         if let Some(link) = links.get(address) {
             return link.clone();
         }
-        let link = Link::limited(
-            address.to_string(),
-            Activity::WorkerLink,
-            WORKER_CONNECTIONS,
-        );
-        let link = Arc::new(link);
+        let link = Link::new(address.to_string(), Activity::WorkerLink);
+        let link = Arc::new(link.keep_idle(IDLE_WORKER_CONNECTIONS));
         links.insert(address.to_string(), link.clone());
         link
     }
--- a/src/web/link.rs
+++ b/src/web/link.rs
@@ -11,7 +11,6 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 
 use crate::prelude::*;
 use crate::telemetry::Activity;
@@ -22,7 +21,7 @@
 /// Time to open a connection; a VM without power does not answer, and links take a few ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Idle connections that are kept to a peer without a limit of its own.
+/// Idle connections that are kept to a peer unless its link sets another number.
 const MAX_IDLE: usize = 8;
 
 /// Why a call gave no answer.
@@ -47,8 +46,7 @@
     address: String,
     activity: Activity,
     idle: Mutex<IdleConnections>,
-    /// Connections that may be in use at once; `None` without a limit.
-    in_use: Option<Semaphore>,
+    max_idle: usize,
 }
 
 /// Connections that wait for a request.
@@ -82,17 +80,14 @@
             address,
             activity,
             idle: Mutex::default(),
-            in_use: None,
+            max_idle: MAX_IDLE,
         }
     }
 
-    /// Creates a link that has at most this many connections at once. Further calls wait for one,
-    /// within their timeouts.
-    pub fn limited(address: String, activity: Activity, connections: usize) -> Self {
-        Self {
-            in_use: Some(Semaphore::new(connections)),
-            ..Self::new(address, activity)
-        }
+    /// Sets the number of idle connections that are kept. A call never waits for a connection:
+    /// what it says may not be true any more by the time one is free.
+    pub fn keep_idle(self, max_idle: usize) -> Self {
+        Self { max_idle, ..self }
     }
 
     /// Returns the peer's address.
@@ -123,15 +118,6 @@
         req: LinkRequest<'_>,
     ) -> Result<(StatusCode, HeaderMap, Bytes), LinkError> {
         let mut message = self.message(req)?;
-        let _permit = match &self.in_use {
-            Some(in_use) => Some(
-                in_use
-                    .acquire()
-                    .await
-                    .map_err(|err| LinkError::NotSent(err.to_string()))?,
-            ),
-            None => None,
-        };
         let generation = self.idle.lock().generation;
         while let Some(mut connection) = self.take_idle() {
             match connection.try_send_request(message).await {
@@ -213,7 +199,7 @@
             .await
             .map_err(|err| LinkError::NoAnswer(err.to_string()))?;
         let mut idle = self.idle.lock();
-        if idle.generation == generation && idle.connections.len() < MAX_IDLE {
+        if idle.generation == generation && idle.connections.len() < self.max_idle {
             idle.connections.push(connection);
         }
         Ok((head.status, head.headers, body.to_bytes()))
