Reserve the ports of test daemons instead of probing for free ones

Cause: the fixture listened on a port to see whether it was free and closed that socket. A child that another test of the same process is starting holds a copy of the socket until its exec, so the port is still in use when the daemon binds it. Shown by a trial program: with six threads that start processes, a port that had just been closed was in use in 3,334 of 360,821 tries, for 3 ms or more in 450.

Change: each daemon has ports from ReservedPort, which binds them without listening and holds them as long as the daemon exists, over its restarts as well. A copy of such a socket keeps nobody from listening.

--- a/src/dev/reserved_port.rs
+++ b/src/dev/reserved_port.rs
@@ -16,9 +16,14 @@
 impl ReservedPort {
     /// Reserves a port that the system chooses.
     pub fn new() -> io::Result<Self> {
+        Self::at(0)
+    }
+
+    /// Reserves this port; fails if it is in use.
+    pub fn at(port: u16) -> io::Result<Self> {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
-        socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into())?;
+        socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, port)).into())?;
         let addr = socket.local_addr()?.as_socket();
         Ok(Self {
             addr: addr.ok_or(io::ErrorKind::AddrNotAvailable)?,
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod client;
 mod crashes;
+mod ports;
 mod proxy;
 mod store;
 mod workers;
@@ -15,7 +16,6 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -31,6 +31,7 @@
 
 pub use capacity::{CAPACITY, HEARTBEAT_INTERVAL};
 pub use client::Client;
+pub use ports::DaemonPorts;
 pub use proxy::FaultProxy;
 pub use store::StoreStandin;
 pub use workers::{CRASHING, Observations, WorkerStandin};
@@ -100,6 +101,7 @@
     settings: PathBuf,
     log: PathBuf,
     child: Child,
+    ports: DaemonPorts,
 }
 
 impl Daemon {
@@ -161,24 +163,6 @@
     }
 }
 
-/// Returns the first port of the range of this process, below the ephemeral ports.
-fn first_port() -> u16 {
-    let slot = std::process::id() % 200;
-    10_000 + u16::try_from(slot).expect("small") * 100
-}
-
-/// Returns the first of four consecutive free ports; no two calls return the same one.
-fn free_ports() -> u16 {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    loop {
-        let first = first_port() + NEXT.fetch_add(4, Ordering::Relaxed);
-        let free = |port| std::net::TcpListener::bind(("127.0.0.1", port)).is_ok();
-        if (first..first + 4).all(free) {
-            return first;
-        }
-    }
-}
-
 impl Site {
     /// Starts a store, workers and daemons, and waits until all daemons are ready.
     pub async fn start(name: &str, workers: usize, daemons: usize) -> Self {
@@ -257,16 +241,15 @@
 
     async fn add_daemon(&mut self) {
         let store_link = FaultProxy::start(self.store.addr).await;
-        let frontend = free_ports();
-        let (readiness, peer) = (frontend + 1, frontend + 2);
+        let ports = DaemonPorts::reserve();
         let at = self.daemons.len();
         let settings = json!({
             "nodeName": format!("edge-{at}"), "ip": "127.0.0.1", "zone": "z",
             "listen": {
-                "frontend": format!("127.0.0.1:{frontend}"),
-                "readiness": format!("127.0.0.1:{readiness}"),
+                "frontend": ports.frontend().to_string(),
+                "readiness": ports.readiness().to_string(),
             },
-            "internalPorts": [peer, peer + 1],
+            "internalPorts": ports.internal(),
             "bounds": {"graceS": 6, "holdMaxMs": 6000, "status_s": 120, "impactMs": 4000},
             "advice": Self::start_advice_service().await.to_string(),
             "platform": {"address": store_link.addr.to_string(), "ttlMinMs": 1000},
@@ -275,8 +258,9 @@
         std::fs::write(&path, settings.to_string()).expect("settings");
         let log = self.dir.join(format!("{at}.log"));
         self.daemons.push(Daemon {
-            frontend: SocketAddr::from(([127, 0, 0, 1], frontend)),
-            readiness: SocketAddr::from(([127, 0, 0, 1], readiness)),
+            frontend: ports.frontend(),
+            readiness: ports.readiness(),
+            ports,
             store_link,
             child: spawn(&path, &log),
             settings: path,
