Keep two idle connections to a worker, not one

Cause: with one, bursts of starts open a connection each; sites price new connections, and a start on a new one takes a round trip more.

--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -31,7 +31,7 @@
 /// Idle connections to one worker, beside those of calls in progress. A leader that loses power
 /// leaves its connections open at the worker, which takes 64; with eight, a dozen lost leaders left
 /// none to the next.
-const IDLE_WORKER_CONNECTIONS: usize = 1;
+const IDLE_WORKER_CONNECTIONS: usize = 2;
 
 /// Client that calls each worker, and the advice service, over separate connections.
 pub struct WorkerClient {
