--- a/src/scheduler/command.rs
+++ b/src/scheduler/command.rs
@@ -109,7 +109,8 @@
     }
 
     /// Returns the response as one of the incarnation that the command was meant for. The clock of
-    /// a later one starts anew: that it has started the run is not what this incarnation has done.
+    /// a later one starts anew, so a start with an earlier reading than expected counts as
+    /// unanswered.
     pub fn for_command(&self, command: &StartCommand) -> StartResponse {
         let is_behind = self
             .clock
--- a/src/scheduler/incarnation.rs
+++ b/src/scheduler/incarnation.rs
@@ -71,7 +71,7 @@
         self.acknowledging = 0;
     }
 
-    /// Returns whether completions may be dropped by the worker that it has not been told of.
+    /// Returns whether the worker has not been told yet that it may drop a completion.
     pub fn owes_acknowledgement(&self) -> bool {
         self.acknowledged > self.delivered
     }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -246,9 +246,9 @@
     /// Returns the acknowledgement that the next poll carries; 0 for none.
     ///
     /// Each incarnation numbers its completions from 1, and a worker cannot tell for which one an
-    /// acknowledgement is meant. It is sent once, and only while no other incarnation can have
-    /// completions that nobody has read: none after a silence, and none beside a start whose
-    /// executor is not known.
+    /// acknowledgement is meant. It is sent until a poll with it is answered, and only while no
+    /// other incarnation can have completions that nobody has read: not after a silence, and not
+    /// beside a start of which the executor is not known.
     pub(super) fn due_acknowledgement(&self) -> u64 {
         let may_be_another = self.current.missed_polls > 0 || self.has_unanswered_start();
         if may_be_another || !self.current.owes_acknowledgement() {
