Log and export how old the confirmation of the configuration is

A call that ends early now names the bytes that had arrived. The age of the last answer by which no newer configuration existed is exported as sapphirecroft_config_age_seconds, and logged once when it exceeds the bound of the settings and once when it is over.

--- a/src/entry/config_watch.rs
+++ b/src/entry/config_watch.rs
@@ -21,6 +21,8 @@
     let key = shared.platform_format.config_key().to_string();
     let mut after = None;
     while !cancel.is_cancelled() {
+        shared.note_outdated_config();
+        let sent_at = shared.clock.now();
         let Some(at) = after else {
             let read = shared.store.get(&key, GET_TIMEOUT).await;
             shared.record_store_call("get", &read);
@@ -29,6 +31,7 @@
                     let at = item.as_ref().map_or(at, |item| at.max(item.revision));
                     if let Some(item) = item {
                         apply(&shared, &item);
+                        shared.confirm_config(sent_at);
                     }
                     after = Some(at);
                 }
@@ -40,6 +43,12 @@
         shared.record_store_call("watch", &watch);
         match watch {
             Ok(WatchResponse::Changes(changes, at)) => {
+                // The store answers a watch without changes at the end of its wait, and one with
+                // changes at an unknown time after it was sent.
+                let confirmed_at = match changes.is_empty() {
+                    true => shared.clock.now().min(sent_at + WATCH_WAIT),
+                    false => sent_at,
+                };
                 for change in changes {
                     if let Change::Put(item) = change
                         && item.key == key
@@ -47,6 +56,7 @@
                         apply(&shared, &item);
                     }
                 }
+                shared.confirm_config(confirmed_at);
                 after = Some(at);
             }
             Ok(WatchResponse::Compacted) => after = None,
--- a/src/entry/frontend.rs
+++ b/src/entry/frontend.rs
@@ -264,7 +264,7 @@
 #[async_trait(?Send)]
 impl WebService for MetricsHandler {
     async fn call(&self, _req: WebReq) -> WebRes {
-        match self.0.metrics.encode_text() {
+        match self.0.metrics.encode_text(self.0.config_age()) {
             Ok(buf) => WebRes::new(ResponseBody::bytes(buf)),
             Err(err) => text(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
         }
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -1,10 +1,11 @@
 //! Prometheus metrics of the daemon.
 
 use prometheus::{
-    CounterVec, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
+    CounterVec, Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
     IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
+use crate::prelude::*;
 use crate::telemetry::Activity;
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -37,6 +38,8 @@
     pub known: IntGaugeVec,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Time since the configuration in force was last known to be the newest.
+    config_age_seconds: Gauge,
 }
 
 impl EntryMetrics {
@@ -114,6 +117,11 @@
         registry.register(Box::new(leaderships.clone()))?;
         registry.register(Box::new(known.clone()))?;
         registry.register(Box::new(config_version.clone()))?;
+        let config_age_seconds = Gauge::new(
+            "sapphirecroft_config_age_seconds",
+            "Time since the configuration in force was last known to be the newest",
+        )?;
+        registry.register(Box::new(config_age_seconds.clone()))?;
         Ok(Self {
             registry,
             requests,
@@ -128,11 +136,14 @@
             leaderships,
             known,
             config_version,
+            config_age_seconds,
         })
     }
 
     /// Encodes all metrics in the text format of Prometheus.
-    pub fn encode_text(&self) -> Result<Vec<u8>, prometheus::Error> {
+    pub fn encode_text(&self, config_age: Option<Millis>) -> Result<Vec<u8>, prometheus::Error> {
+        let config_age = std::time::Duration::from(config_age.unwrap_or_default());
+        self.config_age_seconds.set(config_age.as_secs_f64());
         for activity in Activity::ALL {
             let counter = self.busy_seconds.with_label_values(&[activity.name()]);
             counter.inc_by((activity.total().as_secs_f64() - counter.get()).max(0.0));
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod claim_history;
 mod clock;
 mod committer;
+mod config_age;
 mod config_watch;
 mod daemon;
 mod dispatch;
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -24,6 +24,8 @@
     pub processors: f64,
     /// Shortest lease that the key-value service grants.
     pub shortest_lease: Millis,
+    /// Time after its acknowledgement within which a new configuration has to be in force.
+    pub config_apply: Millis,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Millis,
     /// Time limits of the scheduler.
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -5,6 +5,7 @@
 use parking_lot::{Mutex, RwLock};
 
 use super::claim_history::ClaimHistory;
+use super::config_age::ConfigAge;
 use super::leader::Leader;
 use super::metrics::EntryMetrics;
 use super::ports::{PlatformFormat, StateStore, WorkerCalls};
@@ -53,6 +54,8 @@
     pub incarnation: u64,
     /// Configuration in force, once it is known.
     pub queues: RwLock<Option<Arc<QueueTable>>>,
+    /// When the configuration in force was last known to be the newest.
+    config_age: Mutex<ConfigAge>,
     /// The process that leads, if it is known.
     pub leader_info: RwLock<Option<LeaderInfo>>,
     /// State of the current term, if this process leads.
@@ -90,6 +93,7 @@
         Self {
             unknown_cancels: Mutex::new(unknown_cancels),
             incarnation,
+            config_age: Mutex::new(ConfigAge::new(cfg.config_apply)),
             claims: Mutex::new(ClaimHistory::new(incarnation, clock.now())),
             cfg,
             store,
@@ -139,6 +143,40 @@
         }
     }
 
+    /// Records that no newer configuration existed at this time.
+    pub fn confirm_config(&self, at: Millis) {
+        let outdated_for = self.config_age.lock().confirm(at, self.clock.now());
+        if let Some(age) = outdated_for {
+            tracing::info!(
+                age_ms = age.0,
+                version = self.config_version(),
+                "configuration confirmed again"
+            );
+        }
+    }
+
+    /// Logs once that the configuration in force has not been confirmed for too long.
+    pub fn note_outdated_config(&self) {
+        let age = self.config_age.lock().note_outdated(self.clock.now());
+        if let Some(age) = age {
+            tracing::warn!(
+                age_ms = age.0,
+                version = self.config_version(),
+                limit_ms = self.cfg.config_apply.0,
+                "configuration is not confirmed; a newer version may have to be in force"
+            );
+        }
+    }
+
+    /// Returns the time since the configuration in force was last known to be the newest.
+    pub fn config_age(&self) -> Option<Millis> {
+        self.config_age.lock().age(self.clock.now())
+    }
+
+    fn config_version(&self) -> u64 {
+        self.queues.read().as_ref().map_or(0, |table| table.version)
+    }
+
     /// Returns whether the store counts as available.
     pub fn is_store_available(&self) -> bool {
         let answered_at = Millis(self.store_answered_at.load(Ordering::Relaxed));
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -56,6 +56,9 @@
 struct TimeLimits {
     #[serde(rename = "graceS")]
     grace_s: f64,
+    /// Time after its acknowledgement within which a new configuration has to be in force.
+    #[serde(rename = "configApplyMs")]
+    config_apply_ms: f64,
     /// Longest lease that a worker accepts for its runs.
     #[serde(rename = "holdMaxMs")]
     hold_max_ms: f64,
@@ -70,6 +73,7 @@
     fn default() -> Self {
         Self {
             grace_s: 6.0,
+            config_apply_ms: 2000.0,
             hold_max_ms: 6000.0,
             status_s: 120.0,
             impact_ms: 4000.0,
@@ -124,6 +128,7 @@
         advice: file.advice.filter(|address| !address.is_empty()),
         processors: file.limits.cpu_share * file.limits.cores,
         shortest_lease: Millis(round_to_u64(file.platform.ttl_min_ms)),
+        config_apply: Millis(round_to_u64(file.bounds.config_apply_ms)),
         grace: Millis(round_to_u64(file.bounds.grace_s * 1000.0)),
         timing: Timing {
             run_lease,
--- a/src/web/link.rs
+++ b/src/web/link.rs
@@ -1,5 +1,6 @@
 //! Calls to one peer over pooled HTTP connections that are replaced when they fall silent.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -101,14 +102,19 @@
         req: LinkRequest<'_>,
     ) -> Result<(StatusCode, HeaderMap, Bytes), LinkError> {
         let timeout = req.timeout;
-        match tokio::time::timeout(timeout.into(), self.exchange(req)).await {
+        let received = AtomicUsize::new(0);
+        match tokio::time::timeout(timeout.into(), self.exchange(req, &received)).await {
             Ok(result) => result,
             Err(_) => {
                 // Other connections may have fallen silent for the same reason.
                 let mut idle = self.idle.lock();
                 idle.connections.clear();
                 idle.generation += 1;
-                Err(LinkError::NoAnswer(format!("silent for {timeout} ms")))
+                let received = received.load(Ordering::Relaxed);
+                Err(LinkError::NoAnswer(match received {
+                    0 => format!("silent for {timeout} ms"),
+                    _ => format!("incomplete after {timeout} ms, {received} bytes received"),
+                }))
             }
         }
     }
@@ -116,12 +122,17 @@
     async fn exchange(
         &self,
         req: LinkRequest<'_>,
+        received: &AtomicUsize,
     ) -> Result<(StatusCode, HeaderMap, Bytes), LinkError> {
         let mut message = self.message(req)?;
         let generation = self.idle.lock().generation;
         while let Some(mut connection) = self.take_idle() {
             match connection.try_send_request(message).await {
-                Ok(res) => return self.read_answer(res, connection, generation).await,
+                Ok(res) => {
+                    return self
+                        .read_answer(res, connection, generation, received)
+                        .await;
+                }
                 // The peer has closed the connection before the request was written.
                 Err(mut err) => match err.take_message() {
                     Some(unsent) => message = unsent,
@@ -131,7 +142,10 @@
         }
         let mut connection = self.connect().await?;
         match connection.try_send_request(message).await {
-            Ok(res) => self.read_answer(res, connection, generation).await,
+            Ok(res) => {
+                self.read_answer(res, connection, generation, received)
+                    .await
+            }
             Err(mut err) => Err(match err.take_message() {
                 Some(_) => LinkError::NotSent(err.into_error().to_string()),
                 None => LinkError::NoAnswer(err.into_error().to_string()),
@@ -192,8 +206,14 @@
         res: Response<Incoming>,
         connection: Connection,
         generation: u64,
+        received: &AtomicUsize,
     ) -> Result<(StatusCode, HeaderMap, Bytes), LinkError> {
         let (head, body) = res.into_parts();
+        let body = body.map_frame(|frame| {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            received.fetch_add(bytes, Ordering::Relaxed);
+            frame
+        });
         let body = Limited::new(body, MAX_ANSWER_BYTES)
             .collect()
             .await
