--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -250,7 +250,8 @@
                 "readiness": ports.readiness().to_string(),
             },
             "internalPorts": ports.internal(),
-            "bounds": {"graceS": 6, "holdMaxMs": 6000, "status_s": 120, "impactMs": 4000},
+            "bounds": {"graceS": 6, "holdMaxMs": 6000, "status_s": 120, "impactMs": 4000,
+                "configApplyMs": 3000},
             "advice": Self::start_advice_service().await.to_string(),
             "platform": {"address": store_link.addr.to_string(), "ttlMinMs": 1000},
         });
@@ -359,6 +360,32 @@
     })
 }
 
+/// Returns a configuration with so many queues more that its text has at most `bytes` bytes. The
+/// last queue of the text has the prefix `/last/`.
+pub fn large_config(version: u64, bytes: usize) -> Value {
+    let route = |name: String, prefix: String| {
+        json!({
+            "name": name, "host": "host.example", "prefix": prefix, "service": "s",
+            "kind": "non_idempotent", "timeoutMs": 3000, "targetLatencyMs": 300, "priority": 0,
+            "maxAttempts": 3, "stretchFactor": 1.5,
+        })
+    };
+    let mut config = config(version);
+    let last = route("last".to_string(), "/last/".to_string());
+    let mut size = config.to_string().len() + last.to_string().len() + 2;
+    let routes = config["routes"].as_array_mut().expect("routes");
+    for at in 0.. {
+        let route = route(format!("more-{at:05}"), format!("/more-{at:05}/"));
+        size += route.to_string().len() + 1;
+        if size > bytes {
+            break;
+        }
+        routes.push(route);
+    }
+    routes.push(last);
+    config
+}
+
 /// Returns a job of one task that crashes every worker that starts it.
 pub fn crashing_job() -> Value {
     json!({"spec": CRASHING, "steps": [
--- a/tests/platform_support/proxy.rs
+++ b/tests/platform_support/proxy.rs
@@ -1,12 +1,14 @@
 //! A loopback TCP proxy that injects network faults.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Mutex, watch};
+use tokio::time::Instant;
 
 /// Faults that the proxy injects.
 #[derive(Clone, Copy, Debug, Default)]
@@ -22,8 +24,13 @@
     closed_before: u64,
     /// Number of connections so far.
     opened: u64,
+    /// Bytes a second that all connections together carry to callers; 0 for no limit.
+    rate: u64,
 }
 
+/// Time at which a link of limited rate has carried all bytes that were given to it.
+type LinkFree = Arc<Mutex<Instant>>;
+
 /// A proxy to one address.
 pub struct FaultProxy {
     pub addr: SocketAddr,
@@ -37,6 +44,7 @@
         let addr = listener.local_addr().expect("address");
         let (mode, mode_changes) = watch::channel(FaultMode::default());
         let count = mode.clone();
+        let link: LinkFree = Arc::new(Mutex::new(Instant::now()));
         tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
                 let mut number = 0;
@@ -45,6 +53,7 @@
                     mode.opened += 1;
                 });
                 let mode_changes = mode_changes.clone();
+                let link = link.clone();
                 tokio::spawn(async move {
                     let Ok(target) = TcpStream::connect(target).await else {
                         return;
@@ -54,8 +63,8 @@
                     let (from_caller, to_caller) = caller.into_split();
                     let (from_target, to_target) = target.into_split();
                     tokio::join!(
-                        forward(from_caller, to_target, mode_changes.clone(), number, true),
-                        forward(from_target, to_caller, mode_changes, number, false),
+                        forward(from_caller, to_target, mode_changes.clone(), number, None),
+                        forward(from_target, to_caller, mode_changes, number, Some(link)),
                     );
                 });
             }
@@ -76,6 +85,11 @@
         });
     }
 
+    /// Limits the bytes a second that all connections together carry to callers; 0 ends the limit.
+    pub fn limit_rate(&self, rate: u64) {
+        self.mode.send_modify(|mode| mode.rate = rate);
+    }
+
     /// Stops forwarding on all open connections for good; new connections work.
     pub fn silence_open(&self) {
         self.mode
@@ -92,15 +106,17 @@
     pub fn heal(&self) {
         self.delay(Duration::ZERO);
         self.cut(false, false);
+        self.limit_rate(0);
     }
 }
 
+/// Forwards the bytes of one direction; `link` is the link to the caller if they go there.
 async fn forward(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut mode: watch::Receiver<FaultMode>,
     number: u64,
-    up: bool,
+    link: Option<LinkFree>,
 ) {
     let mut buf = vec![0; 16 << 10];
     let mut silent = false;
@@ -118,14 +134,35 @@
             return;
         }
         let now = *mode.borrow();
-        let cut = if up { now.cut_up } else { now.cut_down };
+        let cut = if link.is_none() {
+            now.cut_up
+        } else {
+            now.cut_down
+        };
         silent |= cut || now.silent_before > number;
         if silent {
             continue;
         }
         tokio::time::sleep(now.delay).await;
+        if let Some(link) = &link {
+            carry(link, read, now.rate).await;
+        }
         if to.write_all(&buf[..read]).await.is_err() {
             return;
         }
     }
 }
+
+/// Waits until a link of this rate has carried so many bytes more.
+async fn carry(link: &LinkFree, bytes: usize, rate: u64) {
+    if rate == 0 {
+        return;
+    }
+    let free_at = {
+        let mut free = link.lock().await;
+        let time = Duration::from_secs_f64(bytes as f64 / rate as f64);
+        *free = (*free).max(Instant::now()) + time;
+        *free
+    };
+    tokio::time::sleep_until(free_at).await;
+}
