Bound transfers by their progress and size, not by one timeout

Callers got 404 for a route that had been acknowledged: a daemon never finished reading a configuration of 1.1 MB over a link of 10 Mbit/s. The timeout of a call covered its whole answer (800 ms for a read), so each read was given up before its end and began anew, which kept the link full. A watch got through only if it had begun late enough.

The timeout of a call now ends when its answer begins. The rest may take as long as it makes progress: an answer is given up after 1 s without a byte or below 16 KiB/s, a request may take the time for its size at 256 KiB/s on top. This holds for all calls over Link and Caller: store, workers, advice, peers. After a watch without an answer the daemon asks for changes since the revision it has, at once and on another connection, rather than for the whole value, and takes only the newest of several versions. Idle connections are given up after silence or a stall, not after a slow answer.

--- a/src/entry/config_watch.rs
+++ b/src/entry/config_watch.rs
@@ -13,59 +13,112 @@
 /// Pause before a failed call to the store is retried.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// Timeout of reading one item.
+/// Time until the answer to the read of an item begins.
 pub(super) const GET_TIMEOUT: Millis = Millis(800);
 
+/// Time of a bound on the age of the configuration that a watch leaves for the loss of its answer and
+/// for the next call.
+const LOST_ANSWER_TIME: Millis = Millis(1000);
+
+/// Shortest wait of a watch, so that a short bound does not make it a poll.
+const SHORTEST_WAIT: Millis = Millis(300);
+
 /// Watches the configuration until `cancel` is triggered.
 pub(super) async fn watch_config(shared: Arc<Shared>, cancel: CancellationToken) {
-    let key = shared.platform_format.config_key().to_string();
-    let mut after = None;
+    let mut watch = ConfigWatch::new(shared);
     while !cancel.is_cancelled() {
-        shared.note_outdated_config();
-        let sent_at = shared.clock.now();
-        let Some(at) = after else {
-            let read = shared.store.get(&key, GET_TIMEOUT).await;
-            shared.record_store_call("get", &read);
-            match read {
-                Ok((item, at)) => {
-                    let at = item.as_ref().map_or(at, |item| at.max(item.revision));
-                    if let Some(item) = item {
-                        apply(&shared, &item);
-                        shared.confirm_config(sent_at);
-                    }
-                    after = Some(at);
-                }
-                Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
-            }
-            continue;
+        watch.step().await;
+    }
+}
+
+/// The next call of the watch of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// Read the whole value.
+    Read,
+    /// Ask at once for changes after a revision. Unlike a read, this transfers the value only if it
+    /// has changed.
+    Check(u64),
+    /// Wait for changes after a revision.
+    Wait(u64),
+}
+
+struct ConfigWatch {
+    shared: Arc<Shared>,
+    key: String,
+    /// Longest wait of one watch.
+    wait: Millis,
+    next: Step,
+}
+
+impl ConfigWatch {
+    fn new(shared: Arc<Shared>) -> Self {
+        let wait = (shared.cfg.config_apply - LOST_ANSWER_TIME).min(WATCH_WAIT);
+        Self {
+            key: shared.platform_format.config_key().to_string(),
+            wait: wait.max(SHORTEST_WAIT),
+            next: Step::Read,
+            shared,
+        }
+    }
+
+    async fn step(&mut self) {
+        self.shared.note_outdated_config();
+        let done = match self.next {
+            Step::Read => self.read().await,
+            Step::Check(after) => self.watch(after, Millis(0)).await,
+            Step::Wait(after) => self.watch(after, self.wait).await,
         };
-        let watch = shared.store.watch(&key, at, WATCH_WAIT).await;
-        shared.record_store_call("watch", &watch);
-        match watch {
-            Ok(WatchResponse::Changes(changes, at)) => {
-                // The store answers a watch without changes at the end of its wait, and one with
-                // changes at an unknown time after it was sent.
-                let confirmed_at = match changes.is_empty() {
-                    true => shared.clock.now().min(sent_at + WATCH_WAIT),
-                    false => sent_at,
-                };
-                for change in changes {
-                    if let Change::Put(item) = change
-                        && item.key == key
-                    {
-                        apply(&shared, &item);
-                    }
-                }
-                shared.confirm_config(confirmed_at);
-                after = Some(at);
-            }
-            Ok(WatchResponse::Compacted) => after = None,
-            Err(_) => {
-                // Changes may have been missed, so the value is read again.
-                after = None;
+        self.next = match (done, self.next) {
+            (Some(next), _) => next,
+            // The answer may be lost with its connection.
+            (None, Step::Wait(after)) => Step::Check(after),
+            (None, _) => {
                 tokio::time::sleep(RETRY_PAUSE).await;
+                Step::Read
             }
+        };
+    }
+
+    /// Reads the value. Returns the next step, or `None` without an answer.
+    async fn read(&self) -> Option<Step> {
+        let sent_at = self.shared.clock.now();
+        let read = self.shared.store.get(&self.key, GET_TIMEOUT).await;
+        self.shared.record_store_call("get", &read);
+        let (item, at) = read.ok()?;
+        let Some(item) = item else {
+            return Some(Step::Wait(at));
+        };
+        apply(&self.shared, &item);
+        self.shared.confirm_config(sent_at);
+        Some(Step::Check(at.max(item.revision)))
+    }
+
+    /// Waits for changes. Returns the next step, or `None` without an answer.
+    async fn watch(&self, after: u64, wait: Millis) -> Option<Step> {
+        let sent_at = self.shared.clock.now();
+        let watch = self.shared.store.watch(&self.key, after, wait).await;
+        self.shared.record_store_call("watch", &watch);
+        let (changes, at) = match watch.ok()? {
+            WatchResponse::Changes(changes, at) => (changes, at),
+            WatchResponse::Compacted => return Some(Step::Read),
+        };
+        if changes.is_empty() {
+            // The store answers at the end of the wait.
+            let answered_at = self.shared.clock.now();
+            self.shared.confirm_config(answered_at.min(sent_at + wait));
+            return Some(Step::Wait(at));
+        }
+        let newest = changes.into_iter().rev().find_map(|change| match change {
+            Change::Put(item) if item.key == self.key => Some(item),
+            _ => None,
+        });
+        if let Some(item) = newest {
+            apply(&self.shared, &item);
         }
+        // The answer may have been made any time after it was asked for.
+        self.shared.confirm_config(sent_at);
+        Some(Step::Check(at))
     }
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,10 +14,10 @@
 use crate::telemetry::Activity;
 use crate::web::{Link, LinkError, LinkRequest};
 
-/// Timeout of a read, well above the latency of a degraded store (240 ms).
+/// Time until the answer to a read begins, well above the latency of a degraded store (240 ms).
 const READ_TIMEOUT: Millis = Millis(800);
 
-/// Time that is added to the wait of a watch to get its timeout.
+/// Time after the wait of a watch until its answer begins.
 const WATCH_MARGIN: Millis = Millis(700);
 
 /// Client of the key-value service at one address.
@@ -49,7 +49,9 @@
         };
         let (status, _, body) = self.link.call(req).await.map_err(|err| match err {
             LinkError::NotSent(_) => StoreError::Unavailable(err.to_string()),
-            LinkError::NoAnswer(_) => StoreError::AnswerLost(err.to_string()),
+            LinkError::NoAnswer(_) | LinkError::TooLarge { .. } => {
+                StoreError::AnswerLost(err.to_string())
+            }
         })?;
         match status {
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
--- a/src/web/caller.rs
+++ b/src/web/caller.rs
@@ -4,13 +4,14 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use super::transfer::{read_answer, request_time};
 use super::{decode, encode};
 use crate::prelude::*;
 
@@ -60,7 +61,9 @@
         decode(&answer).map_err(codec)
     }
 
-    /// Posts `body` to `path` at `addr` and returns the body of the answer.
+    /// Posts `body` to `path` at `addr` and returns the body of the answer. The answer has to begin
+    /// within `timeout` and the time for sending a large body, and may then take as long as it makes
+    /// progress.
     pub async fn post(
         &self,
         addr: &str,
@@ -68,22 +71,21 @@
         body: Vec<u8>,
         timeout: Millis,
     ) -> Result<Bytes, CallError> {
+        let sending = request_time(body.len());
         let req = Request::post(format!("http://{addr}{path}"))
             .body(Full::new(Bytes::from(body)))
             .map_err(|err| CallError::Codec {
                 addr: addr.to_string(),
                 reason: err.to_string(),
             })?;
-        tokio::time::timeout(timeout.into(), self.send(addr, req))
+        let timeout = Duration::from(timeout) + sending;
+        let res = tokio::time::timeout(timeout, self.client.request(req))
             .await
             .map_err(|_| CallError::Broken {
                 addr: addr.to_string(),
-                reason: format!("no answer within {timeout} ms"),
-            })?
-    }
-
-    async fn send(&self, addr: &str, req: Request<Full<Bytes>>) -> Result<Bytes, CallError> {
-        let res = self.client.request(req).await.map_err(|err| {
+                reason: format!("no answer within {} ms", timeout.as_millis()),
+            })?;
+        let res = res.map_err(|err| {
             let reason = error_chain(&err);
             let addr = addr.to_string();
             if err.is_connect() {
@@ -93,14 +95,12 @@
             }
         })?;
         let status = res.status();
-        let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES)
-            .collect()
+        let body = read_answer(res.into_body(), MAX_ANSWER_BYTES)
             .await
             .map_err(|err| CallError::Broken {
                 addr: addr.to_string(),
                 reason: err.to_string(),
-            })?
-            .to_bytes();
+            })?;
         if status != StatusCode::OK {
             return Err(CallError::Status {
                 addr: addr.to_string(),
--- a/src/web/link.rs
+++ b/src/web/link.rs
@@ -1,18 +1,18 @@
 //! Calls to one peer over pooled HTTP connections that are replaced when they fall silent.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 
+use super::transfer::{TransferError, read_answer, request_time};
 use crate::prelude::*;
 use crate::telemetry::Activity;
 
@@ -35,6 +35,12 @@
     /// The peer may have carried out the request, or may still do so.
     #[error("no answer: {0}")]
     NoAnswer(String),
+    /// The peer has carried out the request; its answer is not read.
+    #[error("answer exceeds {limit} bytes")]
+    TooLarge {
+        /// Most bytes that are read.
+        limit: usize,
+    },
 }
 
 type Connection = SendRequest<Full<Bytes>>;
@@ -69,7 +75,8 @@
     pub headers: &'a [(&'static str, &'a str)],
     /// Body.
     pub body: Vec<u8>,
-    /// Time for the whole exchange.
+    /// Time until the answer begins, beside the time for sending a large body. The rest of the
+    /// answer may take as long as it makes progress.
     pub timeout: Millis,
 }
 
@@ -101,38 +108,38 @@
         &self,
         req: LinkRequest<'_>,
     ) -> Result<(StatusCode, HeaderMap, Bytes), LinkError> {
-        let timeout = req.timeout;
-        let received = AtomicUsize::new(0);
-        match tokio::time::timeout(timeout.into(), self.exchange(req, &received)).await {
-            Ok(result) => result,
-            Err(_) => {
-                // Other connections may have fallen silent for the same reason.
-                let mut idle = self.idle.lock();
-                idle.connections.clear();
-                idle.generation += 1;
-                let received = received.load(Ordering::Relaxed);
-                Err(LinkError::NoAnswer(match received {
-                    0 => format!("silent for {timeout} ms"),
-                    _ => format!("incomplete after {timeout} ms, {received} bytes received"),
-                }))
+        let timeout = Duration::from(req.timeout) + request_time(req.body.len());
+        let generation = self.idle.lock().generation;
+        let Ok(sent) = tokio::time::timeout(timeout, self.send(req)).await else {
+            self.give_up_idle();
+            let timeout = Millis::from(timeout);
+            return Err(LinkError::NoAnswer(format!("silent for {timeout} ms")));
+        };
+        let (res, connection) = sent?;
+        let (head, body) = res.into_parts();
+        let body = match read_answer(body, MAX_ANSWER_BYTES).await {
+            Ok(body) => body,
+            Err(TransferError::TooLarge { limit }) => return Err(LinkError::TooLarge { limit }),
+            Err(err) => {
+                if matches!(err, TransferError::Stalled { .. }) {
+                    self.give_up_idle();
+                }
+                return Err(LinkError::NoAnswer(err.to_string()));
             }
-        }
+        };
+        self.keep(connection, generation);
+        Ok((head.status, head.headers, body))
     }
 
-    async fn exchange(
+    /// Sends a request and waits for the head of its answer.
+    async fn send(
         &self,
         req: LinkRequest<'_>,
-        received: &AtomicUsize,
-    ) -> Result<(StatusCode, HeaderMap, Bytes), LinkError> {
+    ) -> Result<(Response<Incoming>, Connection), LinkError> {
         let mut message = self.message(req)?;
-        let generation = self.idle.lock().generation;
         while let Some(mut connection) = self.take_idle() {
             match connection.try_send_request(message).await {
-                Ok(res) => {
-                    return self
-                        .read_answer(res, connection, generation, received)
-                        .await;
-                }
+                Ok(res) => return Ok((res, connection)),
                 // The peer has closed the connection before the request was written.
                 Err(mut err) => match err.take_message() {
                     Some(unsent) => message = unsent,
@@ -142,10 +149,7 @@
         }
         let mut connection = self.connect().await?;
         match connection.try_send_request(message).await {
-            Ok(res) => {
-                self.read_answer(res, connection, generation, received)
-                    .await
-            }
+            Ok(res) => Ok((res, connection)),
             Err(mut err) => Err(match err.take_message() {
                 Some(_) => LinkError::NotSent(err.into_error().to_string()),
                 None => LinkError::NoAnswer(err.into_error().to_string()),
@@ -153,6 +157,22 @@
         }
     }
 
+    /// Gives up all idle connections: they may have fallen silent for the same reason as one that
+    /// carried a call.
+    fn give_up_idle(&self) {
+        let mut idle = self.idle.lock();
+        idle.connections.clear();
+        idle.generation += 1;
+    }
+
+    /// Keeps a connection whose answer has been read for another request.
+    fn keep(&self, connection: Connection, generation: u64) {
+        let mut idle = self.idle.lock();
+        if idle.generation == generation && idle.connections.len() < self.max_idle {
+            idle.connections.push(connection);
+        }
+    }
+
     fn message(&self, req: LinkRequest<'_>) -> Result<Request<Full<Bytes>>, LinkError> {
         let mut builder = Request::builder()
             .method(req.method)
@@ -200,28 +220,4 @@
         }));
         Ok(sender)
     }
-
-    async fn read_answer(
-        &self,
-        res: Response<Incoming>,
-        connection: Connection,
-        generation: u64,
-        received: &AtomicUsize,
-    ) -> Result<(StatusCode, HeaderMap, Bytes), LinkError> {
-        let (head, body) = res.into_parts();
-        let body = body.map_frame(|frame| {
-            let bytes = frame.data_ref().map_or(0, Bytes::len);
-            received.fetch_add(bytes, Ordering::Relaxed);
-            frame
-        });
-        let body = Limited::new(body, MAX_ANSWER_BYTES)
-            .collect()
-            .await
-            .map_err(|err| LinkError::NoAnswer(err.to_string()))?;
-        let mut idle = self.idle.lock();
-        if idle.generation == generation && idle.connections.len() < self.max_idle {
-            idle.connections.push(connection);
-        }
-        Ok((head.status, head.headers, body.to_bytes()))
-    }
 }
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -6,6 +6,7 @@
 mod routes;
 mod server;
 mod service;
+mod transfer;
 
 pub use caller::Caller;
 pub use codec::{decode, encode};
@@ -13,3 +14,4 @@
 pub use routes::Routes;
 pub use server::Server;
 pub use service::{WebReq, WebRes, WebService, packed, read_body, text};
+pub use transfer::TransferError;
