Refuse what needs the newest configuration while it is not confirmed

A daemon that had not heard from the store for longer than a new configuration may take still said 'no such queue' for one that had been added meanwhile, and took jobs for one that had been removed.

Each answer of the store by which nothing newer existed confirms the version in force. Once the last one is older than configApplyMs, requests for unknown queues, submissions and counts get 503 with Retry-After, and readiness is withdrawn; jobs are still known by their ids. A daemon that is cut off from the store alone asks the leader for the version and its age, and goes on if it is the same.

--- a/src/entry/config_watch.rs
+++ b/src/entry/config_watch.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::jobs::LOOKUP_TIMEOUT;
+use super::peers::{PeerCall, PeerResponse};
 use super::ports::{Change, Item, WatchResponse};
 use super::shared::Shared;
 use crate::prelude::*;
@@ -74,6 +76,7 @@
             // The answer may be lost with its connection.
             (None, Step::Wait(after)) => Step::Check(after),
             (None, _) => {
+                self.ask_leader().await;
                 tokio::time::sleep(RETRY_PAUSE).await;
                 Step::Read
             }
@@ -94,6 +97,38 @@
         Some(Step::Check(at.max(item.revision)))
     }
 
+    /// Asks the leader whether the version in force is still the newest: a daemon that is cut off
+    /// from the store alone can go on serving its callers.
+    async fn ask_leader(&self) {
+        let Some(address) = self.shared.leader_address() else {
+            return;
+        };
+        let sent_at = self.shared.clock.now();
+        let response = self
+            .shared
+            .caller
+            .exchange::<_, PeerResponse>(&address, "/peer", &PeerCall::ConfigAge, LOOKUP_TIMEOUT)
+            .await;
+        match response {
+            Ok(PeerResponse::ConfigAge(Some(config)))
+                if config.version == self.shared.config_version() =>
+            {
+                self.shared.confirm_config(sent_at - config.age);
+            }
+            Ok(response) => tracing::info!(
+                leader = address,
+                ?response,
+                version = self.shared.config_version(),
+                "leader does not confirm the configuration"
+            ),
+            Err(err) => tracing::info!(
+                leader = address,
+                %err,
+                "leader does not answer; the configuration is not confirmed"
+            ),
+        }
+    }
+
     /// Waits for changes. Returns the next step, or `None` without an answer.
     async fn watch(&self, after: u64, wait: Millis) -> Option<Step> {
         let sent_at = self.shared.clock.now();
--- a/src/entry/frontend.rs
+++ b/src/entry/frontend.rs
@@ -40,10 +40,22 @@
             .map(|host| host.split(':').next().unwrap_or(host).to_string())
             .unwrap_or_default();
         let path = req.uri().path().to_string();
-        let Some(queue) = table.find(&host, &path) else {
+        let queue = table.find(&host, &path);
+        let suffix = queue.map(|queue| path[queue.prefix.len()..].to_string());
+        if needs_newest_config(req.method(), suffix.as_deref()) && self.shared.is_config_outdated()
+        {
+            tracing::info!(
+                host,
+                path,
+                config = table.version,
+                age_ms = self.shared.config_age().map(|age| age.0),
+                "request refused; the configuration is not confirmed"
+            );
+            return refuse("the configuration is not confirmed");
+        }
+        let (Some(queue), Some(suffix)) = (queue, suffix) else {
             return text(StatusCode::NOT_FOUND, "no such queue");
         };
-        let suffix = path[queue.prefix.len()..].to_string();
         let name = queue.name.clone();
         let request = match decode(req, &suffix, table.max_body).await {
             Ok(request) => request,
@@ -64,6 +76,12 @@
     }
 }
 
+/// Returns whether the answer depends on which queues there are now: an unknown queue may have been
+/// added, and the queue of a submission or count may have been removed. Jobs are known by their ids.
+fn needs_newest_config(method: &Method, suffix: Option<&str>) -> bool {
+    suffix.is_none_or(str::is_empty) || method == Method::POST
+}
+
 async fn decode(
     req: WebReq,
     suffix: &str,
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -20,7 +20,7 @@
 const CANCEL_WRITES: usize = 4;
 
 /// Timeout of a lookup in the memory of the leader.
-const LOOKUP_TIMEOUT: Millis = Millis(300);
+pub(super) const LOOKUP_TIMEOUT: Millis = Millis(300);
 
 /// Timeout of a call that is relayed to the leader.
 const RELAY_TIMEOUT: Millis = Millis(1000);
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -26,6 +26,8 @@
     State(JobId),
     /// Count the waiting jobs of a queue.
     Pending(String),
+    /// Tell which configuration is in force, and when it was known to be the newest.
+    ConfigAge,
     /// End the term of one claim of the leader key, and all others before the one with this fencing
     /// token.
     EndTerm {
@@ -50,10 +52,22 @@
     Pending(usize),
     /// What became of the claim; this process renews no leases under an earlier fencing token.
     TermEnd(TermEnd),
+    /// Configuration in force, once there is one.
+    ConfigAge(Option<ConfirmedConfig>),
     /// This process does not lead; as an answer to `EndTerm`, it leads under a later fencing token.
     NotLeader,
 }
 
+/// A version of the configuration that was the newest some time ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct ConfirmedConfig {
+    /// Version of the configuration.
+    pub version: u64,
+    /// Time since it was last known to be the newest.
+    pub age: Millis,
+}
+
 /// Handles calls of other entry processes.
 pub(super) struct PeerHandler {
     pub shared: Arc<Shared>,
@@ -96,6 +110,7 @@
         } => shared
             .end_for_successor(incarnation, claim, fence)
             .map_or(PeerResponse::NotLeader, PeerResponse::TermEnd),
+        PeerCall::ConfigAge => PeerResponse::ConfigAge(shared.confirmed_config()),
         PeerCall::State(id) => match shared.local_leader() {
             Some(leader) => PeerResponse::State(leader.sched.lock().view(&id)),
             None => PeerResponse::NotLeader,
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -8,6 +8,7 @@
 use super::config_age::ConfigAge;
 use super::leader::Leader;
 use super::metrics::EntryMetrics;
+use super::peers::ConfirmedConfig;
 use super::ports::{PlatformFormat, StateStore, WorkerCalls};
 use super::{Clock, EntrySettings, TermEnd};
 use crate::admission::TokenBucket;
@@ -173,7 +174,20 @@
         self.config_age.lock().age(self.clock.now())
     }
 
-    fn config_version(&self) -> u64 {
+    /// Returns the version in force and its age, once there is one.
+    pub fn confirmed_config(&self) -> Option<ConfirmedConfig> {
+        let age = self.config_age()?;
+        let version = self.config_version();
+        Some(ConfirmedConfig { version, age })
+    }
+
+    /// Returns whether a newer configuration may have to be in force than the one that is.
+    pub fn is_config_outdated(&self) -> bool {
+        self.config_age.lock().exceeds_limit(self.clock.now())
+    }
+
+    /// Returns the version in force; 0 if there is none.
+    pub fn config_version(&self) -> u64 {
         self.queues.read().as_ref().map_or(0, |table| table.version)
     }
 
@@ -200,6 +214,7 @@
     pub fn is_ready(&self) -> bool {
         !self.shutting_down.load(Ordering::Relaxed)
             && self.queues.read().is_some()
+            && !self.is_config_outdated()
             && self.is_store_available()
     }
 
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of private items of the daemon.
 
+mod config_age;
 mod intake_model;
 mod terms;
 mod terms_model;
--- a/tests/config_transfer.rs
+++ b/tests/config_transfer.rs
@@ -74,3 +74,30 @@
     })
     .await;
 }
+
+/// Guards against a daemon that refuses its callers because it cannot reach the store, although the
+/// leader can tell it that its configuration is the newest; and against one that goes on with an
+/// older version when the leader tells of a newer one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_that_is_cut_off_from_the_store_asks_the_leader() {
+    let site = Site::start("cut-off", 1, 2).await;
+    let cut_off = 1 - site.leader().await;
+    let status = |prefix: &'static str| {
+        let frontend = site.daemons[cut_off].frontend;
+        async move { call(frontend, "GET", prefix, "").await.0 }
+    };
+    eventually("the daemon knows the leader", || async {
+        status("/queue/").await == 200
+    })
+    .await;
+    site.daemons[cut_off].store_link.cut(true, true);
+
+    tokio::time::sleep(Duration::from_millis(3000 + 2500)).await;
+    let confirmed = (status("/queue/").await, status("/last/").await);
+    site.store.put("op/config", &large_config(2, 10_000));
+    tokio::time::sleep(Duration::from_millis(3000 + 2500)).await;
+    let outdated = (status("/queue/").await, status("/last/").await);
+
+    assert_eq!(confirmed, (200, 404));
+    assert_eq!(outdated, (503, 503));
+}
