--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -90,12 +90,15 @@
     dir: PathBuf,
     dropped: CancellationToken,
     keep_logs: bool,
+    /// Limits of the VMs, as the settings name them.
+    limits: Value,
 }
 
 /// A daemon as a separate process.
 pub struct Daemon {
     pub frontend: SocketAddr,
     pub readiness: SocketAddr,
+    pub peer: SocketAddr,
     /// Proxy between the daemon and the store.
     pub store_link: FaultProxy,
     settings: PathBuf,
@@ -111,6 +114,30 @@
         rustix::process::kill_process(pid, signal).expect("own process");
     }
 
+    /// Returns the largest memory that the process has had so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = self.proc_file("status");
+        let status = std::fs::read_to_string(status).expect("the process lives");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|peak| peak.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.expect("peak memory") * 1024
+    }
+
+    /// Returns the number of open descriptors of the process.
+    pub fn open_descriptors(&self) -> usize {
+        let open = std::fs::read_dir(self.proc_file("fd")).expect("the process lives");
+        open.count()
+    }
+
+    fn proc_file(&self, name: &str) -> String {
+        format!("/proc/{}/{name}", self.child.id())
+    }
+
+    /// Returns whether the process has exited.
+    pub fn has_exited(&mut self) -> bool {
+        self.child.try_wait().expect("own process").is_some()
+    }
+
     /// Restarts the process if it has exited; returns whether it had.
     pub fn restart_if_exited(&mut self) -> bool {
         let ended = self.child.try_wait().expect("own process").is_some();
@@ -166,6 +193,16 @@
 impl Site {
     /// Starts a store, workers and daemons, and waits until all daemons are ready.
     pub async fn start(name: &str, workers: usize, daemons: usize) -> Self {
+        Self::start_with_limits(name, workers, daemons, Value::Null).await
+    }
+
+    /// Starts a site whose settings name these limits of the VMs.
+    pub async fn start_with_limits(
+        name: &str,
+        workers: usize,
+        daemons: usize,
+        limits: Value,
+    ) -> Self {
         let dir = std::env::temp_dir().join(format!("sapphirecroft-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("folder");
         let store = StoreStandin::start().await;
@@ -179,6 +216,7 @@
             dir,
             dropped: CancellationToken::new(),
             keep_logs: false,
+            limits,
         };
         for at in 0..workers {
             let worker = WorkerStandin::start(at, &site.observed).await;
@@ -243,7 +281,7 @@
         let store_link = FaultProxy::start(self.store.addr).await;
         let ports = DaemonPorts::reserve();
         let at = self.daemons.len();
-        let settings = json!({
+        let mut settings = json!({
             "nodeName": format!("edge-{at}"), "ip": "127.0.0.1", "zone": "z",
             "listen": {
                 "frontend": ports.frontend().to_string(),
@@ -255,12 +293,16 @@
             "advice": Self::start_advice_service().await.to_string(),
             "platform": {"address": store_link.addr.to_string(), "ttlMinMs": 1000},
         });
+        if !self.limits.is_null() {
+            settings["limits"] = self.limits.clone();
+        }
         let path = self.dir.join(format!("{at}.json"));
         std::fs::write(&path, settings.to_string()).expect("settings");
         let log = self.dir.join(format!("{at}.log"));
         self.daemons.push(Daemon {
             frontend: ports.frontend(),
             readiness: ports.readiness(),
+            peer: ports.peer(),
             ports,
             store_link,
             child: spawn(&path, &log),
--- a/tests/platform_support/ports.rs
+++ b/tests/platform_support/ports.rs
@@ -39,6 +39,11 @@
         self.readiness.addr()
     }
 
+    /// Returns the address for peers.
+    pub fn peer(&self) -> SocketAddr {
+        self.internal[0].addr()
+    }
+
     /// Returns the first and last port for peers and metrics.
     pub fn internal(&self) -> [u16; 2] {
         self.internal.each_ref().map(|port| port.addr().port())
