Bound the memory and descriptors that connections of clients take

Clients that keep to no limit ended a process: each connection could hold 1 MB of a head, or of empty lines before one, and a body of 262,144 bytes, chunked or not, until its end came, which is more than a VM has by the number of connections that its descriptors allow.

One table (src/web/inbound) counts the connections to all ports of a process and what is held of the requests on them, against limits that follow from memoryMb and maxFds. A connection waits for memory before it reads. When there is none, the connections with the largest and oldest incomplete requests are closed, and count until they have ended; complete requests are never closed. Heads may have 20 KiB, bodies have to make progress, and a client has to take its answers. The web server is set up through its own layers (xitca-server, xitca-http), because xitca-web's builder does not let a connection be replaced. A body that is too large gets 413 in place of 400.

--- a/src/admin/service.rs
+++ b/src/admin/service.rs
@@ -53,7 +53,7 @@
         };
         let body = match read_body(req, MAX_BODY_BYTES).await {
             Ok(body) => body,
-            Err(err) => return AdminAnswer::error(ErrorKind::BadInput, err),
+            Err(err) => return AdminAnswer::error(ErrorKind::BadInput, err.to_string()),
         };
         self.dispatch(caller, &method, &path, &body).await
     }
--- a/src/batch/service.rs
+++ b/src/batch/service.rs
@@ -42,7 +42,7 @@
         let name = path.strip_prefix(PEER_PATH).unwrap_or_default();
         let response = match read_body(req, MAX_MESSAGE_BYTES).await {
             Ok(buf) => self.respond(name, &buf).await,
-            Err(err) => Err(err),
+            Err(err) => Err(err.to_string()),
         };
         response.unwrap_or_else(|err| text(StatusCode::BAD_REQUEST, err))
     }
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -69,7 +69,13 @@
         let mut servers = Vec::new();
         for (address, handler) in listeners {
             if let Some(address) = address {
-                servers.push(Server::start(address, handler, 1, server_cancel.clone())?);
+                servers.push(Server::start_within(
+                    shared.inbound.clone(),
+                    address,
+                    handler,
+                    1,
+                    server_cancel.clone(),
+                )?);
             }
         }
         tokio::spawn(watch_config(shared.clone(), server_cancel.clone()));
--- a/src/entry/frontend.rs
+++ b/src/entry/frontend.rs
@@ -59,6 +59,7 @@
         let name = queue.name.clone();
         let request = match decode(req, &suffix, table.max_body).await {
             Ok(request) => request,
+            Err((StatusCode::SERVICE_UNAVAILABLE, message)) => return refuse(&message),
             Err((status, message)) => return text(status, message),
         };
         let shared = self.shared.clone();
@@ -105,7 +106,9 @@
         Method::DELETE => Ok(CallerRequest::Cancel(id)),
         Method::POST => Ok(CallerRequest::Submit(
             id,
-            read_body(req, max_body).await.map_err(bad)?,
+            read_body(req, max_body)
+                .await
+                .map_err(|err| (err.status(), err.to_string()))?,
         )),
         _ => Err((
             StatusCode::METHOD_NOT_ALLOWED,
@@ -282,7 +285,7 @@
 #[async_trait(?Send)]
 impl WebService for MetricsHandler {
     async fn call(&self, _req: WebReq) -> WebRes {
-        match self.0.metrics.encode_text(self.0.config_age()) {
+        match self.0.encode_metrics() {
             Ok(buf) => WebRes::new(ResponseBody::bytes(buf)),
             Err(err) => text(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
         }
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -7,6 +7,7 @@
 
 use crate::prelude::*;
 use crate::telemetry::Activity;
+use crate::web::InboundLoad;
 
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
@@ -40,6 +41,12 @@
     pub config_version: IntGauge,
     /// Time since the configuration in force was last known to be the newest.
     config_age_seconds: Gauge,
+    /// Open connections of clients.
+    inbound_connections: IntGauge,
+    /// Memory of connections of clients and the requests on them.
+    inbound_bytes: IntGauge,
+    /// Connections of clients that were closed or refused to keep the limits.
+    inbound_closed: IntGauge,
 }
 
 impl EntryMetrics {
@@ -122,6 +129,23 @@
             "Time since the configuration in force was last known to be the newest",
         )?;
         registry.register(Box::new(config_age_seconds.clone()))?;
+        let gauge = |name: &str, help: &str| {
+            let metric = IntGauge::new(name, help)?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok::<_, prometheus::Error>(metric)
+        };
+        let inbound_connections = gauge(
+            "sapphirecroft_inbound_connections",
+            "Open connections of clients to all ports",
+        )?;
+        let inbound_bytes = gauge(
+            "sapphirecroft_inbound_bytes",
+            "Memory of connections of clients and the requests on them",
+        )?;
+        let inbound_closed = gauge(
+            "sapphirecroft_inbound_closed",
+            "Connections of clients closed or refused to keep the limits, since the start",
+        )?;
         Ok(Self {
             registry,
             requests,
@@ -137,13 +161,25 @@
             known,
             config_version,
             config_age_seconds,
+            inbound_connections,
+            inbound_bytes,
+            inbound_closed,
         })
     }
 
     /// Encodes all metrics in the text format of Prometheus.
-    pub fn encode_text(&self, config_age: Option<Millis>) -> Result<Vec<u8>, prometheus::Error> {
+    pub fn encode_text(
+        &self,
+        config_age: Option<Millis>,
+        inbound: InboundLoad,
+    ) -> Result<Vec<u8>, prometheus::Error> {
         let config_age = std::time::Duration::from(config_age.unwrap_or_default());
         self.config_age_seconds.set(config_age.as_secs_f64());
+        let to_gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        self.inbound_connections.set(to_gauge(inbound.connections));
+        self.inbound_bytes.set(to_gauge(inbound.bytes));
+        let closed = i64::try_from(inbound.closed).unwrap_or(i64::MAX);
+        self.inbound_closed.set(closed);
         for activity in Activity::ALL {
             let counter = self.busy_seconds.with_label_values(&[activity.name()]);
             counter.inc_by((activity.total().as_secs_f64() - counter.get()).max(0.0));
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -79,7 +79,7 @@
     async fn call(&self, req: WebReq) -> WebRes {
         let body = match read_body(req, MAX_CALL_BYTES).await {
             Ok(body) => body,
-            Err(err) => return text(StatusCode::BAD_REQUEST, err),
+            Err(err) => return text(err.status(), err.to_string()),
         };
         let call: PeerCall = match decode(&body) {
             Ok(call) => call,
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::prelude::*;
 use crate::scheduler::Timing;
+use crate::web::InboundLimits;
 
 /// Settings of one entry process.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,6 +29,8 @@
     pub config_apply: Millis,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Millis,
+    /// Limits on connections of clients and on the memory for them.
+    pub inbound: InboundLimits,
     /// Time limits of the scheduler.
     pub timing: Timing,
 }
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -14,7 +14,7 @@
 use crate::admission::TokenBucket;
 use crate::prelude::*;
 use crate::scheduler::{MAX_ENTRIES_AGE, QueueTable};
-use crate::web::Caller;
+use crate::web::{Caller, Inbound};
 
 /// Time since the last response of the store after which it counts as unavailable to this process.
 const STORE_SILENCE_TIMEOUT: Millis = Millis(1500);
@@ -51,6 +51,8 @@
     pub clock: Clock,
     pub caller: Caller,
     pub metrics: EntryMetrics,
+    /// Connections of clients to all ports.
+    pub inbound: Arc<Inbound>,
     /// Start of this process by the wall clock, in milliseconds.
     pub incarnation: u64,
     /// Configuration in force, once it is known.
@@ -94,6 +96,7 @@
         Self {
             unknown_cancels: Mutex::new(unknown_cancels),
             incarnation,
+            inbound: Arc::new(Inbound::new(cfg.inbound)),
             config_age: Mutex::new(ConfigAge::new(cfg.config_apply)),
             claims: Mutex::new(ClaimHistory::new(incarnation, clock.now())),
             cfg,
@@ -191,6 +194,12 @@
         self.queues.read().as_ref().map_or(0, |table| table.version)
     }
 
+    /// Encodes all metrics in the text format of Prometheus.
+    pub fn encode_metrics(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let (config_age, inbound) = (self.config_age(), self.inbound.load());
+        self.metrics.encode_text(config_age, inbound)
+    }
+
     /// Returns whether the store counts as available.
     pub fn is_store_available(&self) -> bool {
         let answered_at = Millis(self.store_answered_at.load(Ordering::Relaxed));
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -59,6 +59,7 @@
         let path = req.uri().path().to_string();
         let response = read_body(req, MAX_MESSAGE_BYTES)
             .await
+            .map_err(|err| err.to_string())
             .and_then(|body| self.response(&path, &body));
         response.unwrap_or_else(|err| text(StatusCode::BAD_REQUEST, err))
     }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -9,6 +9,7 @@
 use crate::entry::{EntrySettings, LEASE_HORIZON};
 use crate::prelude::*;
 use crate::scheduler::{Timing, with_clock_drift};
+use crate::web::InboundLimits;
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -23,23 +24,28 @@
     /// Address of the advice service.
     advice: Option<String>,
     #[serde(default)]
-    limits: CpuLimits,
+    limits: VmLimits,
 }
 
-/// CPU capacity of the VM.
+/// Capacity of the VM.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
-struct CpuLimits {
+struct VmLimits {
     /// Usable share of each core.
     cpu_share: f64,
     cores: f64,
+    memory_mb: f64,
+    /// Descriptors that a process may open.
+    max_fds: f64,
 }
 
-impl Default for CpuLimits {
+impl Default for VmLimits {
     fn default() -> Self {
         Self {
             cpu_share: 1.0,
             cores: 1.0,
+            memory_mb: 0.0,
+            max_fds: 0.0,
         }
     }
 }
@@ -95,6 +101,10 @@
 /// Time by which job records outlive the period in which callers may read them.
 const RETENTION_MARGIN: Millis = Millis(20_000);
 
+fn round_to_usize(value: f64) -> usize {
+    usize::try_from(round_to_u64(value)).unwrap_or(usize::MAX)
+}
+
 /// Reads and checks the settings file.
 pub fn read_settings(path: &Path) -> Result<EntrySettings, String> {
     let text = std::fs::read(path).map_err(|err| format!("{}: {err}", path.display()))?;
@@ -129,6 +139,10 @@
         processors: file.limits.cpu_share * file.limits.cores,
         shortest_lease: Millis(round_to_u64(file.platform.ttl_min_ms)),
         config_apply: Millis(round_to_u64(file.bounds.config_apply_ms)),
+        inbound: InboundLimits::for_vm(
+            round_to_usize(file.limits.memory_mb),
+            round_to_usize(file.limits.max_fds),
+        ),
         grace: Millis(round_to_u64(file.bounds.grace_s * 1000.0)),
         timing: Timing {
             run_lease,
--- a/src/proxy/peer_request_handler.rs
+++ b/src/proxy/peer_request_handler.rs
@@ -36,7 +36,7 @@
         let path = path.to_string();
         let buf = match read_body(req, MAX_MESSAGE_BYTES).await {
             Ok(buf) => buf,
-            Err(err) => return text(StatusCode::PAYLOAD_TOO_LARGE, err),
+            Err(err) => return text(err.status(), err.to_string()),
         };
         match path.as_str() {
             RECORD_PATH => self.record(&buf),
--- a/src/standin/kv_server.rs
+++ b/src/standin/kv_server.rs
@@ -168,6 +168,7 @@
     async fn call(&self, req: WebReq) -> WebRes {
         let call = match read_body(req, MAX_CALL_BYTES)
             .await
+            .map_err(|err| err.to_string())
             .and_then(|buf| decode(&buf))
         {
             Ok(call) => call,
--- a/src/standin/worker_server.rs
+++ b/src/standin/worker_server.rs
@@ -57,6 +57,7 @@
         }
         match read_body(req, MAX_COMMAND_BYTES)
             .await
+            .map_err(|err| err.to_string())
             .and_then(|buf| decode(&buf))
         {
             Ok(command) => packed(&self.command(command)),
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod codec;
+mod inbound;
 mod link;
 mod routes;
 mod server;
@@ -10,6 +11,7 @@
 
 pub use caller::Caller;
 pub use codec::{decode, encode};
+pub use inbound::{BodyError, Inbound, InboundLimits, InboundLoad, InboundRequest, Reservation};
 pub use link::{Link, LinkError, LinkRequest};
 pub use routes::Routes;
 pub use server::Server;
