Reserve the memory that a submitted job grows to

A body of legal size may name thousands of small steps, which take about a hundred times their text once decoded, encoded and copied for the leader. While the store did not answer, nothing bounded how many such jobs a daemon held.

The estimated memory is reserved with the table of connections before a job is decoded, and returned once it is answered. A job that gets none within 1 s is refused with 503 and Retry-After; it has not been stored.

--- a/src/entry/frontend.rs
+++ b/src/entry/frontend.rs
@@ -4,11 +4,12 @@
 use http::{Method, StatusCode};
 use xitca_web::body::ResponseBody;
 
+use super::job_weight::job_weight;
 use super::jobs::{self, ChangeOutcome};
 use super::shared::Shared;
 use crate::prelude::*;
 use crate::scheduler::QueueTable;
-use crate::web::{WebReq, WebRes, WebService, read_body, text};
+use crate::web::{InboundRequest, WebReq, WebRes, WebService, read_body, text};
 
 /// Value of `Retry-After` in seconds; a lost leader or store is usually available again by then.
 const RETRY_AFTER_S: &str = "1";
@@ -57,15 +58,32 @@
             return text(StatusCode::NOT_FOUND, "no such queue");
         };
         let name = queue.name.clone();
+        let inbound = req.extensions().get::<InboundRequest>().cloned();
         let request = match decode(req, &suffix, table.max_body).await {
             Ok(request) => request,
             Err((StatusCode::SERVICE_UNAVAILABLE, message)) => return refuse(&message),
             Err((status, message)) => return text(status, message),
         };
+        let reservation = match (&request, inbound) {
+            (CallerRequest::Submit(id, body), Some(inbound)) => {
+                let bytes = job_weight(body);
+                let reservation = inbound.reserve(bytes).await;
+                if reservation.is_none() {
+                    tracing::info!(job = %id, queue = name, bytes, "no memory for the job; it is refused");
+                    return refuse("too many jobs are being stored");
+                }
+                reservation
+            }
+            _ => None,
+        };
         let shared = self.shared.clone();
         match self
             .runtime
-            .spawn(handle(shared, table, name, request))
+            .spawn(async move {
+                let answer = handle(shared, table, name, request).await;
+                drop(reservation);
+                answer
+            })
             .await
         {
             Ok(answer) => json_response(answer),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod former_terms;
 mod frontend;
 mod intake;
+mod job_weight;
 mod jobs;
 mod keys;
 mod leader;
