Read anew what a watch is too large to tell

A watch whose changes exceeded 4 MiB was given up and repeated from the same revision, with the same answer, until the store forgot its history: a leader that had fallen behind, or a burst of jobs of the largest size, would have waited for up to 20 s.

The store client reports such a history like one that is compacted, and the watches read the present values page by page, as they do then.

a_watch_whose_changes_are_too_large_is_read_anew fails on the code before (AnswerLost).

--- a/src/entry/ports.rs
+++ b/src/entry/ports.rs
@@ -44,7 +44,8 @@
 pub enum WatchResponse {
     /// Changes, and the store revision up to which they are complete.
     Changes(Vec<Change>, u64),
-    /// The history after the requested revision is gone; the prefix has to be read again.
+    /// The history after the requested revision is gone, or too large to be read; the prefix has to be
+    /// read again.
     Compacted,
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -40,6 +40,19 @@
         body: Vec<u8>,
         timeout: Millis,
     ) -> Result<(StatusCode, bytes::Bytes), StoreError> {
+        self.exchange(method, path, body, timeout)
+            .await
+            .map_err(store_error)?
+    }
+
+    /// Calls the service; the outer error is one of the connection.
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Millis,
+    ) -> Result<Result<(StatusCode, bytes::Bytes), StoreError>, LinkError> {
         let req = LinkRequest {
             method,
             path,
@@ -47,13 +60,8 @@
             body,
             timeout,
         };
-        let (status, _, body) = self.link.call(req).await.map_err(|err| match err {
-            LinkError::NotSent(_) => StoreError::Unavailable(err.to_string()),
-            LinkError::NoAnswer(_) | LinkError::TooLarge { .. } => {
-                StoreError::AnswerLost(err.to_string())
-            }
-        })?;
-        match status {
+        let (status, _, body) = self.link.call(req).await?;
+        Ok(match status {
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
                 Err(StoreError::Unavailable(format!("status {status}")))
             }
@@ -61,6 +69,15 @@
                 Err(StoreError::AnswerLost(format!("status {status}")))
             }
             _ => Ok((status, body)),
+        })
+    }
+}
+
+fn store_error(err: LinkError) -> StoreError {
+    match err {
+        LinkError::NotSent(_) => StoreError::Unavailable(err.to_string()),
+        LinkError::NoAnswer(_) | LinkError::TooLarge { .. } => {
+            StoreError::AnswerLost(err.to_string())
         }
     }
 }
@@ -144,9 +161,17 @@
     ) -> Result<WatchResponse, StoreError> {
         let prefix = encode_query(prefix);
         let path = format!("/kv-watch?prefix={prefix}&after={after}&waitMs={wait}");
-        let (status, body) = self
-            .call(Method::GET, &path, Vec::new(), wait + WATCH_MARGIN)
-            .await?;
+        let exchanged = self
+            .exchange(Method::GET, &path, Vec::new(), wait + WATCH_MARGIN)
+            .await;
+        let (status, body) = match exchanged {
+            // Each repetition would be as large, so the present values are read page by page.
+            Err(LinkError::TooLarge { limit }) => {
+                tracing::warn!(%prefix, after, limit, "history is too large to be read");
+                return Ok(WatchResponse::Compacted);
+            }
+            exchanged => exchanged.map_err(store_error)??,
+        };
         if status == StatusCode::GONE {
             return Ok(WatchResponse::Compacted);
         }
--- a/tests/web_transfer.rs
+++ b/tests/web_transfer.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use http::Method;
+use sapphirecroft::entry::{StateStore, WatchResponse};
 use sapphirecroft::model::Millis;
+use sapphirecroft::platform::KvClient;
 use sapphirecroft::telemetry::Activity;
 use sapphirecroft::web::{Caller, Link, LinkError, LinkRequest};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -126,3 +128,16 @@
 
     assert!(matches!(read, Err(LinkError::TooLarge { .. })), "{read:?}");
 }
+
+/// Guards against a watch that is repeated for good because the changes since its revision have grown
+/// larger than an answer may be.
+#[tokio::test]
+async fn a_watch_whose_changes_are_too_large_is_read_anew() {
+    let mut pieces = Pieces::whole(1, 1000, 0);
+    pieces.length = 1 << 30;
+    let store = KvClient::new(start_peer(pieces).await);
+
+    let watch = store.watch("prefix/", 7, Millis(1000)).await;
+
+    assert_eq!(watch, Ok(WatchResponse::Compacted));
+}
