Count the connections to all ports of 'serve' together, and share the play of crowds

The three ports of the daemon of 'serve' would each have kept a table with the default limits, three times what one process may take.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -23,7 +23,7 @@
 use crate::routing::Dispatcher;
 use crate::schema::peer::Member;
 use crate::schema::settings::Settings;
-use crate::web::{Caller, Server};
+use crate::web::{Caller, Inbound, Server, WebService};
 
 /// Worker threads of each of the two server_token for callers and peers.
 const REQUEST_THREADS: usize = 2;
@@ -138,22 +138,27 @@
         let admin_routes = route_builder.admin(registry, stopping.clone())?;
         let peer_routes = route_builder.peers();
         let server_token = background.clone();
+        // One table, so that all ports together keep its limits.
+        let inbound = Arc::default();
         let peers = serve(
             &cfg.listen.peers,
             Arc::new(peer_routes),
             REQUEST_THREADS,
+            &inbound,
             &server_token,
         )?;
         let admin = serve(
             &cfg.listen.admin,
             Arc::new(admin_routes),
             ADMIN_THREADS,
+            &inbound,
             &server_token,
         )?;
         let callers = serve(
             &cfg.listen.callers,
             Arc::new(proxy.clone()),
             REQUEST_THREADS,
+            &inbound,
             &server_token,
         )?;
         tracing::info!(%member, callers = %callers.addr(), "daemon started");
@@ -216,15 +221,22 @@
 
 fn serve(
     addr: &Address,
-    service: Arc<dyn crate::web::WebService>,
+    service: Arc<dyn WebService>,
     threads: usize,
+    inbound: &Arc<Inbound>,
     cancel: &CancellationToken,
 ) -> Result<Server, DaemonError> {
-    Server::start(&addr.to_string(), service, threads, cancel.child_token()).map_err(|err| {
-        DaemonError::Listen {
-            addr: *addr,
-            reason: err.to_string(),
-        }
+    let address = addr.to_string();
+    Server::start_within(
+        inbound.clone(),
+        &address,
+        service,
+        threads,
+        cancel.child_token(),
+    )
+    .map_err(|err| DaemonError::Listen {
+        addr: *addr,
+        reason: err.to_string(),
     })
 }
 
--- a/tests/inbound_crowds.rs
+++ b/tests/inbound_crowds.rs
@@ -80,6 +80,16 @@
     assert!(peak < MEMORY_MB << 20, "{} KB at the peak", peak >> 10);
 }
 
+/// Lets a crowd of callers send these pieces to a daemon, and checks what must hold then.
+async fn assert_daemon_bears_crowd(name: &str, pieces: &Pieces) {
+    let _one = ONE_AT_A_TIME.lock().await;
+    let mut site = start_site(name).await;
+
+    let crowd = send_crowd(site.daemons[0].frontend, CROWD, pieces).await;
+
+    assert_serves(&mut site, crowd).await;
+}
+
 fn head(id: u64, framing: &str) -> Vec<u8> {
     format!(
         "POST /queue/{id:016x} HTTP/1.1\r\nhost: host.example\r\n\
@@ -114,74 +124,50 @@
 /// Guards against a process that keeps the heads of all its clients, whatever their length.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn heads_without_end_take_no_more_memory_than_there_is() {
-    let _one = ONE_AT_A_TIME.lock().await;
-    let mut site = start_site("heads").await;
     let mut pieces = vec![b"GET /queue/ HTTP/1.1\r\n".to_vec()];
     pieces.extend((0..50).map(|at| format!("x-{at}: {}\r\n", "x".repeat(4000)).into_bytes()));
 
-    let crowd = send_crowd(site.daemons[0].frontend, CROWD, &pieces).await;
-
-    assert_serves(&mut site, crowd).await;
+    assert_daemon_bears_crowd("heads", &pieces).await;
 }
 
 /// Guards against empty lines before a request that are kept until the request comes.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn empty_lines_without_end_take_no_more_memory_than_there_is() {
-    let _one = ONE_AT_A_TIME.lock().await;
-    let mut site = start_site("lines").await;
     let pieces = vec![b"\r\n".repeat(2000); 50];
 
-    let crowd = send_crowd(site.daemons[0].frontend, CROWD, &pieces).await;
-
-    assert_serves(&mut site, crowd).await;
+    assert_daemon_bears_crowd("lines", &pieces).await;
 }
 
 /// Guards against bodies of legal size that are held until their ends come.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn whole_bodies_without_end_take_no_more_memory_than_there_is() {
-    let _one = ONE_AT_A_TIME.lock().await;
-    let mut site = start_site("bodies").await;
     let pieces = body_without_end(MAX_BODY);
 
-    let crowd = send_crowd(site.daemons[0].frontend, CROWD, &pieces).await;
-
-    assert_serves(&mut site, crowd).await;
+    assert_daemon_bears_crowd("bodies", &pieces).await;
 }
 
 /// Guards against the same bodies if they come in pieces.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_in_pieces_without_end_take_no_more_memory_than_there_is() {
-    let _one = ONE_AT_A_TIME.lock().await;
-    let mut site = start_site("pieces").await;
     let pieces = body_without_end(4096);
 
-    let crowd = send_crowd(site.daemons[0].frontend, CROWD, &pieces).await;
-
-    assert_serves(&mut site, crowd).await;
+    assert_daemon_bears_crowd("pieces", &pieces).await;
 }
 
 /// Guards against chunked bodies, whose length no head tells.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn large_chunks_without_end_take_no_more_memory_than_there_is() {
-    let _one = ONE_AT_A_TIME.lock().await;
-    let mut site = start_site("chunks").await;
     let pieces = chunked_body_without_end(64 << 10);
 
-    let crowd = send_crowd(site.daemons[0].frontend, CROWD, &pieces).await;
-
-    assert_serves(&mut site, crowd).await;
+    assert_daemon_bears_crowd("chunks", &pieces).await;
 }
 
 /// Guards against chunked bodies that are mostly framing.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn small_chunks_without_end_take_no_more_memory_than_there_is() {
-    let _one = ONE_AT_A_TIME.lock().await;
-    let mut site = start_site("small-chunks").await;
     let pieces = chunked_body_without_end(1);
 
-    let crowd = send_crowd(site.daemons[0].frontend, CROWD, &pieces).await;
-
-    assert_serves(&mut site, crowd).await;
+    assert_daemon_bears_crowd("small-chunks", &pieces).await;
 }
 
 /// Guards against the same on the ports of peers and of the readiness check.
