Keep a bound on the age of the configuration of at least 1 s

A configApplyMs of 0 in the settings would have made every configuration count as outdated, so that a daemon refused all submissions. Found while reading the change; no run has shown it.

--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -98,6 +98,9 @@
 /// Part of a worker's longest lease that is left unused, for the delay of a call.
 const LEASE_MARGIN: Millis = Millis(200);
 
+/// Shortest bound on the age of a configuration; a watch takes about as long.
+const SHORTEST_CONFIG_APPLY: Millis = Millis(1000);
+
 /// Time by which job records outlive the period in which callers may read them.
 const RETENTION_MARGIN: Millis = Millis(20_000);
 
@@ -138,7 +141,7 @@
         advice: file.advice.filter(|address| !address.is_empty()),
         processors: file.limits.cpu_share * file.limits.cores,
         shortest_lease: Millis(round_to_u64(file.platform.ttl_min_ms)),
-        config_apply: Millis(round_to_u64(file.bounds.config_apply_ms)),
+        config_apply: Millis(round_to_u64(file.bounds.config_apply_ms)).max(SHORTEST_CONFIG_APPLY),
         inbound: InboundLimits::for_vm(
             round_to_usize(file.limits.memory_mb),
             round_to_usize(file.limits.max_fds),
