Bound what a job of many steps takes while it is decoded

A call to the port for peers may have 1 MiB, in which an empty step takes one byte and several hundred once decoded; the body of a caller has three bytes for one. Nothing bounded that beside the limit on tasks, which was checked after decoding.

Lists of steps are decoded up to 20,000 elements, which the limit on tasks implies already, and a call of a peer reserves memory for the steps that fit into it, as a submission does.

--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -7,9 +7,9 @@
 use super::jobs::{self, ChangeOutcome};
 use super::shared::Shared;
 use crate::prelude::*;
-use crate::scheduler::{JobSpec, JobView};
+use crate::scheduler::{JobSpec, JobView, MAX_STEPS, StepSpec};
 use crate::telemetry::Activity;
-use crate::web::{WebReq, WebRes, WebService, decode, packed, read_body, text};
+use crate::web::{InboundRequest, WebReq, WebRes, WebService, decode, packed, read_body, text};
 
 /// Maximum size of a call in bytes: the body of a job and an allowance for its encoding.
 const MAX_CALL_BYTES: usize = 1 << 20;
@@ -77,10 +77,21 @@
 #[async_trait(?Send)]
 impl WebService for PeerHandler {
     async fn call(&self, req: WebReq) -> WebRes {
+        let inbound = req.extensions().get::<InboundRequest>().cloned();
         let body = match read_body(req, MAX_CALL_BYTES).await {
             Ok(body) => body,
             Err(err) => return text(err.status(), err.to_string()),
         };
+        // A decoded call holds a job with at most so many steps.
+        let bytes = body.len() + body.len().min(MAX_STEPS) * size_of::<StepSpec>();
+        let reservation = match inbound {
+            Some(inbound) => inbound.reserve(bytes).await,
+            None => None,
+        };
+        if reservation.is_none() {
+            tracing::info!(bytes, "no memory for the call of a peer; it is refused");
+            return text(StatusCode::SERVICE_UNAVAILABLE, "no memory for the call");
+        }
         let call: PeerCall = match decode(&body) {
             Ok(call) => call,
             Err(err) => return text(StatusCode::BAD_REQUEST, err),
@@ -88,7 +99,11 @@
         let shared = self.shared.clone();
         match self
             .runtime
-            .spawn(Activity::Request.measure(handle(shared, call)))
+            .spawn(Activity::Request.measure(async move {
+                let response = handle(shared, call).await;
+                drop(reservation);
+                response
+            }))
             .await
         {
             Ok(response) => packed(&response),
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -1,6 +1,7 @@
 //! Identifiers, quantities and times that all other modules use.
 
 mod address;
+mod bounded_vec;
 mod hex_bytes;
 mod ids;
 mod millis;
@@ -9,6 +10,7 @@
 mod units;
 
 pub use address::Address;
+pub use bounded_vec::bounded_vec;
 pub use hex_bytes::{Digest, PublicKey, Signature};
 pub use ids::{
     CheckpointId, ClassName, JobId, KeyId, MemberId, OperatorId, ProposalId, RackId, RegionId,
--- a/src/platform/job.rs
+++ b/src/platform/job.rs
@@ -4,14 +4,16 @@
 
 use super::config::round_to_u64;
 use super::worker_entry::resources;
+use crate::model::bounded_vec;
 use crate::prelude::*;
-use crate::scheduler::{JobSpec, Repeat, StepSpec};
+use crate::scheduler::{JobSpec, MAX_STEPS, Repeat, StepSpec};
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Body {
     #[serde(default)]
     spec: String,
+    #[serde(deserialize_with = "bounded_vec::<_, _, MAX_STEPS>")]
     steps: Vec<Step>,
     #[serde(default)]
     repeat_count: u32,
@@ -47,7 +49,7 @@
 }
 
 /// Maximum number of tasks of a job, so that one body cannot exhaust the memory of a small VM.
-const MAX_TASKS: u64 = 20_000;
+const MAX_TASKS: u64 = MAX_STEPS as u64;
 
 pub(super) fn decode(body: &[u8]) -> Result<JobSpec, String> {
     let body: Body = serde_json::from_slice(body).map_err(|err| err.to_string())?;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -58,6 +58,6 @@
 pub use report::{RunCompletion, RunOutcome, RunStatus, WorkerReport};
 pub use run_lease::with_clock_drift;
 pub use silence::SilentWorker;
-pub use spec::{JobSpec, Repeat, StepSpec, TaskKey};
+pub use spec::{JobSpec, MAX_STEPS, Repeat, StepSpec, TaskKey};
 pub use state::{PlanCounts, Scheduler, Timing};
 pub use worker::{Worker, WorkerEntry};
--- a/src/scheduler/spec.rs
+++ b/src/scheduler/spec.rs
@@ -3,8 +3,13 @@
 use std::fmt;
 
 use super::Queue;
+use crate::model::bounded_vec;
 use crate::prelude::*;
 
+/// Most steps of a job, so that one body cannot exhaust the memory of a small VM. A job has at least
+/// one task for each.
+pub const MAX_STEPS: usize = 20_000;
+
 /// A job as its queue accepted it.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -19,6 +24,7 @@
     /// Payload that every task receives.
     pub payload: String,
     /// Steps in the order of their numbers.
+    #[serde(deserialize_with = "bounded_vec::<_, _, MAX_STEPS>")]
     pub steps: Vec<StepSpec>,
     /// Schedule of a job that runs several times.
     pub repeat: Option<Repeat>,
