--- a/src/entry/frontend.rs
+++ b/src/entry/frontend.rs
@@ -9,7 +9,7 @@
 use super::shared::Shared;
 use crate::prelude::*;
 use crate::scheduler::QueueTable;
-use crate::web::{InboundRequest, WebReq, WebRes, WebService, read_body, text};
+use crate::web::{InboundRequest, Reservation, WebReq, WebRes, WebService, read_body, text};
 
 /// Value of `Retry-After` in seconds; a lost leader or store is usually available again by then.
 const RETRY_AFTER_S: &str = "1";
@@ -45,14 +45,7 @@
         let suffix = queue.map(|queue| path[queue.prefix.len()..].to_string());
         if needs_newest_config(req.method(), suffix.as_deref()) && self.shared.is_config_outdated()
         {
-            tracing::info!(
-                host,
-                path,
-                config = table.version,
-                age_ms = self.shared.config_age().map(|age| age.0),
-                "request refused; the configuration is not confirmed"
-            );
-            return refuse("the configuration is not confirmed");
+            return self.refuse_unconfirmed(&host, &path, table.version);
         }
         let (Some(queue), Some(suffix)) = (queue, suffix) else {
             return text(StatusCode::NOT_FOUND, "no such queue");
@@ -64,17 +57,8 @@
             Err((StatusCode::SERVICE_UNAVAILABLE, message)) => return refuse(&message),
             Err((status, message)) => return text(status, message),
         };
-        let reservation = match (&request, inbound) {
-            (CallerRequest::Submit(id, body), Some(inbound)) => {
-                let bytes = job_weight(body);
-                let reservation = inbound.reserve(bytes).await;
-                if reservation.is_none() {
-                    tracing::info!(job = %id, queue = name, bytes, "no memory for the job; it is refused");
-                    return refuse("too many jobs are being stored");
-                }
-                reservation
-            }
-            _ => None,
+        let Ok(reservation) = reserve(&request, inbound, &name).await else {
+            return refuse("too many jobs are being stored");
         };
         let shared = self.shared.clone();
         match self
@@ -95,6 +79,41 @@
     }
 }
 
+impl FrontendHandler {
+    /// Refuses a request because the configuration in force may be outdated.
+    fn refuse_unconfirmed(&self, host: &str, path: &str, version: u64) -> WebRes {
+        tracing::info!(
+            host,
+            path,
+            config = version,
+            age_ms = self.shared.config_age().map(|age| age.0),
+            "request refused; the configuration is not confirmed"
+        );
+        refuse("the configuration is not confirmed")
+    }
+}
+
+/// There is no memory to serve a request.
+struct NoMemory;
+
+/// Reserves the memory that a submission takes until it is answered.
+async fn reserve(
+    request: &CallerRequest,
+    inbound: Option<InboundRequest>,
+    queue: &str,
+) -> Result<Option<Reservation>, NoMemory> {
+    let (CallerRequest::Submit(id, body), Some(inbound)) = (request, inbound) else {
+        return Ok(None);
+    };
+    let bytes = job_weight(body);
+    let reservation = inbound.reserve(bytes).await;
+    if reservation.is_none() {
+        tracing::info!(job = %id, queue, bytes, "no memory for the job; it is refused");
+        return Err(NoMemory);
+    }
+    Ok(reservation)
+}
+
 /// Returns whether the answer depends on which queues there are now: an unknown queue may have been
 /// added, and the queue of a submission or count may have been removed. Jobs are known by their ids.
 fn needs_newest_config(method: &Method, suffix: Option<&str>) -> bool {
--- a/src/web/inbound/connection_table.rs
+++ b/src/web/inbound/connection_table.rs
@@ -8,7 +8,7 @@
 
 /// By how much connections that are still to be closed may exceed the limit. Beyond it new ones are
 /// refused until the others have ended.
-const CLOSING_SHARE: usize = 2;
+const CLOSING_FACTOR: usize = 2;
 
 /// Open connections and the memory that they take.
 ///
@@ -45,7 +45,7 @@
     /// Adds a connection. Returns its number, or `None` if there is no room for it.
     pub fn open(&mut self, id: ConnectionId, close: CancellationToken, now: Millis) -> Option<u64> {
         self.take(&id);
-        if self.connections.len() >= self.limits.connections * CLOSING_SHARE {
+        if self.connections.len() >= self.limits.connections * CLOSING_FACTOR {
             self.closed += 1;
             return None;
         }
